--- /dev/null
+++ b/src/config/node.cpp
@@ -0,0 +1,51 @@
+#include "config/node.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace cressledge::config {
+
+std::string read_file(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream out;
+    if (!in || !(out << in.rdbuf())) throw Invalid(path + ": cannot be read");
+    return out.str();
+}
+
+Node node_from_json(const std::string& source) {
+    using nlohmann::json;
+    using namespace nlohmann::literals;
+    const json doc = json::parse(source, nullptr, false);
+    if (!doc.is_object()) throw Invalid("not a JSON object");
+    const auto text = [&](const char* name) {
+        if (!doc.contains(name) || !doc[name].is_string())
+            throw Invalid(std::string("missing text: ") + name);
+        return doc[name].get<std::string>();
+    };
+    Node n;
+    n.name = text("name");
+    n.listen = text("listen");
+    n.engine = text("engine");
+    n.lookup = text("lookup");
+    n.records = text("records");
+    const std::string seed = text("seed");
+    if (std::from_chars(seed.data(), seed.data() + seed.size(), n.seed, 16).ptr != seed.data() + seed.size())
+        throw Invalid("seed: not hexadecimal");
+    if (!doc.contains("stop_ms") || !doc["stop_ms"].is_number()) throw Invalid("missing number: stop_ms");
+    n.stop = curlewreel::Span(std::llround(doc["stop_ms"].get<double>() * 1000.0));
+    if (doc.contains("limits") && doc["limits"].is_object()) {
+        const json& limits = doc["limits"];
+        if (limits.contains("sockets") && limits["sockets"].is_number())
+            n.sockets = static_cast<std::size_t>(std::max(32.0, limits["sockets"].get<double>()));
+    }
+    if (!doc.contains("settings") || !doc["settings"].is_object()) throw Invalid("missing object: settings");
+    for (const json& g : doc["settings"].value("/domain/gauges"_json_pointer, json::array()))
+        if (g.is_string()) n.gauges.push_back(g.get<std::string>());
+    n.settings = settings_from_json(doc["settings"].dump());
+    return n;
+}
+
+}  // namespace cressledge::config
--- /dev/null
+++ b/src/config/node.hpp
@@ -0,0 +1,24 @@
+// What the platform tells one server: NODE_CONFIG.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/settings.hpp"
+
+namespace cressledge::config {
+
+struct Node {
+    std::string name, listen, engine, lookup, records;
+    std::uint64_t seed = 0;
+    curlewreel::Span stop{3'000'000};  // between the notice to leave and the stop
+    std::size_t sockets = 1024;
+    std::vector<std::string> gauges;  // in the order in which the engine says them
+    curlewreel::Settings settings;
+};
+
+std::string read_file(const std::string& path);  // throws Invalid
+Node node_from_json(const std::string& source);
+
+}  // namespace cressledge::config
--- /dev/null
+++ b/src/front/front.hpp
@@ -0,0 +1,92 @@
+// What both fronts share: a listener, the table of its connections, and the life of a connection. A session
+// reads one request at a time, hands it to the core and writes the one final answer. No policy lives here.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/server.hpp"
+#include "net/loop.hpp"
+#include "net/stream.hpp"
+
+namespace cressledge::front {
+
+class Front;
+
+class Session : public net::Stream::Owner {
+public:
+    explicit Session(Front& front) : front_(front) {}
+    void on_bytes(std::string_view bytes) final;
+    void on_end(bool refused) final;
+    void answer(const core::Answer& answer);
+    void checked(bool good);
+
+protected:
+    // Takes bytes up to the end of a request; stops after submit(), check() or say(). Says how many it took.
+    virtual std::size_t parse(std::string_view bytes) = 0;
+    virtual bool partial() const = 0;  // a request has begun and is not whole
+    virtual std::string format(const core::Answer& answer, bool close) = 0;
+    virtual std::string format_check(bool good, bool close) = 0;
+    virtual std::string too_slow() = 0;  // the answer to a request that does not get whole
+    virtual bool keep_alive() const = 0;
+
+    void submit(core::Arrival arrival);
+    void check(bool deep);
+    void say(const std::string& bytes, bool close);  // an answer that needs no core
+    void interim(std::string_view bytes);  // bytes ahead of the final answer
+    Front& front_;
+
+private:
+    friend class Front;
+    void pump();
+    void conclude(const std::string& bytes, bool close);
+    void rest();  // no request is open: deadlines for the next one
+    void bury();
+
+    net::Stream* stream_ = nullptr;
+    core::SlotNo no_ = 0;
+    core::RequestNo request_ = 0;
+    std::string later_;  // read ahead of its turn
+    bool busy_ = false, finished_ = false, pumping_ = false, paused_ = false;
+    core::Deadlines::Handle deadline_ = 0;
+    bool whole_by_ = false;  // the deadline is for the rest of a request
+};
+
+class Front final : public core::Responder {
+public:
+    using Make = std::function<std::unique_ptr<Session>(Front&)>;
+    struct Limits {
+        std::size_t connections = 512;
+        core::Span whole{10'000'000};  // a request that has begun is whole by then
+        bool first_at_once = false;  // the first request is due from the accept on, not from its first byte
+    };
+    Front(net::Loop& loop, core::Deadlines& deadlines, core::Server& server, const net::Address& address,
+          const Limits& limits, Make make);
+    ~Front() override;
+
+    void answer(std::uint64_t ticket, const core::Answer& answer) override;
+    void idle_limit(core::Span limit);
+    void leave();  // refuse connections, close idle ones, and the others with their answer
+    bool empty() const { return sessions_.size() == 0; }
+    int port() const { return listener_.port(); }
+    core::Server& server() { return server_; }
+
+private:
+    friend class Session;
+    void take();
+    void remove(core::SlotNo no);
+
+    net::Loop& loop_;
+    core::Deadlines& deadlines_;
+    core::Server& server_;
+    const Limits limits_;
+    const Make make_;
+    core::Slots<Session> sessions_;
+    core::Span idle_{0};
+    bool leaving_ = false;
+    net::Listener listener_;
+};
+
+}  // namespace cressledge::front
--- /dev/null
+++ b/src/front/http/session.cpp
@@ -0,0 +1,220 @@
+#include "front/http/session.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace cressledge::front::http {
+namespace {
+
+constexpr std::size_t most_body = 2048, most_head = 8192;
+
+std::string message(const char* status, std::string_view more, std::string_view body, bool close) {
+    std::string out;
+    out.reserve(160 + more.size() + body.size());
+    out.append("HTTP/1.1 ").append(status).append("\r\n").append(more);
+    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    if (close) out.append("Connection: close\r\n");
+    return out.append("\r\n").append(body);
+}
+
+template <class T>
+bool number(const std::string& text, T& to) {
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, to);
+    return !text.empty() && error == std::errc() && stop == end;
+}
+bool finite(const std::string& text, double least, double below, double& to) {
+    return number(text, to) && std::isfinite(to) && to >= least && to < below;
+}
+bool hex16(const std::string& text) {
+    return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+bool same(const std::string& a, const char* b) {
+    std::size_t i = 0;
+    for (; i < a.size() && b[i] != '\0'; ++i)
+        if (std::tolower(static_cast<unsigned char>(a[i])) != b[i]) return false;
+    return i == a.size() && b[i] == '\0';
+}
+
+}  // namespace
+
+struct HttpSession::Hooks {
+    static HttpSession& self(http_parser* p) { return *static_cast<HttpSession*>(p->data); }
+    static http_parser_settings make() {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_url = [](http_parser* p, const char* at, std::size_t n) { return head(self(p), self(p).url_, at, n); };
+        s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+            HttpSession& me = self(p);
+            if (me.in_value_) me.field_done();
+            return head(me, me.name_, at, n);
+        };
+        s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+            self(p).in_value_ = true;
+            return head(self(p), self(p).value_, at, n);
+        };
+        s.on_headers_complete = [](http_parser* p) {
+            HttpSession& me = self(p);
+            if (me.in_value_) me.field_done();
+            // Refused before the body is read: a length that is too large is known by now.
+            const bool known = (p->flags & F_CONTENTLENGTH) != 0;
+            if (known && p->content_length > most_body) {
+                me.too_large_ = true;
+                return -1;
+            }
+            if (same(me.fields_[expect], "100-continue")) me.interim("HTTP/1.1 100 Continue\r\n\r\n");
+            return 0;
+        };
+        s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+            HttpSession& me = self(p);
+            if (me.body_.size() + n > most_body) {
+                me.too_large_ = true;
+                return 1;
+            }
+            me.body_.append(at, n);
+            return 0;
+        };
+        s.on_message_complete = [](http_parser* p) {
+            self(p).whole_ = true;
+            self(p).keep_alive_ = http_should_keep_alive(p) != 0;
+            http_parser_pause(p, 1);  // the next request waits until this one is answered
+            return 0;
+        };
+        return s;
+    }
+    static int head(HttpSession& me, std::string& to, const char* at, std::size_t n) {
+        me.head_bytes_ += n;
+        if (me.head_bytes_ > most_head) {
+            me.too_long_ = true;
+            return 1;
+        }
+        to.append(at, n);
+        return 0;
+    }
+};
+
+HttpSession::HttpSession(Front& front) : Session(front) { reset(); }
+
+void HttpSession::reset() {
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    url_.clear();
+    name_.clear();
+    value_.clear();
+    body_.clear();
+    for (std::string& f : fields_) f.clear();
+    head_bytes_ = 0;
+    begun_ = in_value_ = twice_ = too_long_ = too_large_ = whole_ = false;
+}
+
+void HttpSession::field_done() {
+    static constexpr std::array<const char*, other> names{"trace-id",   "accepted-at-ms", "client-no",
+                                                          "expected-ms", "reserve-kb",     "standing",
+                                                          "lookup-key",  "expect"};
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        if (!same(name_, names[i])) continue;
+        twice_ = twice_ || !fields_[i].empty();
+        fields_[i] = value_;
+    }
+    name_.clear();
+    value_.clear();
+    in_value_ = false;
+}
+
+std::size_t HttpSession::parse(std::string_view bytes) {
+    static const http_parser_settings hooks = Hooks::make();
+    begun_ = true;
+    const std::size_t used = http_parser_execute(&parser_, &hooks, bytes.data(), bytes.size());
+    if (whole_) {
+        whole();
+        return used;
+    }
+    if (too_large_) {
+        refuse(413, "Payload Too Large");
+    } else if (too_long_ || parser_.upgrade != 0 || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+        refuse(400, "Bad Request");
+    }
+    return bytes.size();
+}
+
+void HttpSession::refuse(int status, const char* why, bool close) {
+    spdlog::debug("http: answered {} {}", status, why);
+    const std::string line = std::to_string(status) + ' ' + why;
+    reset();
+    say(message(line.c_str(), {}, {}, close), close);
+}
+
+bool HttpSession::fill(core::Arrival& a, const char*& wrong) const {
+    const auto bad = [&](const char* name) {
+        wrong = name;
+        return false;
+    };
+    if (twice_) return bad("a field that came twice");
+    if (!hex16(fields_[id])) return bad("Trace-Id");
+    std::int64_t ms = 0;
+    if (!number(fields_[stamp], ms) || ms <= 0 || ms > 100'000'000'000'000) return bad("Accepted-At-Ms");
+    if (!fields_[caller].empty() && !number(fields_[caller], a.caller)) return bad("Client-No");
+    double hint_ms = 0.0;
+    if (!fields_[hint].empty() && !finite(fields_[hint], 0.0, 1e9, hint_ms)) return bad("Expected-Ms");
+    if (!finite(fields_[size], 0.0, 2000.0, a.held_kb) || a.held_kb <= 0.0) return bad("Reserve-Kb");
+    if (!fields_[rank].empty() && !finite(fields_[rank], 0.0, 1.0, a.rank)) return bad("Standing");
+    if (!fields_[key].empty() && !hex16(fields_[key])) return bad("Lookup-Key");
+    a.name = fields_[id];
+    a.key = fields_[key];
+    a.hint = hint_ms / 1000.0;
+    a.accepted = core::Time(ms * 1000);
+    return true;
+}
+
+void HttpSession::whole() {
+    const bool get = parser_.method == HTTP_GET, post = parser_.method == HTTP_POST, keep = keep_alive_;
+    const std::size_t query = url_.find('?');
+    const std::string path = url_.substr(0, query);
+    if (path == "/healthz") {
+        if (!get) return refuse(405, "Method Not Allowed", !keep);
+        const std::string rest = query == std::string::npos ? std::string() : '&' + url_.substr(query + 1) + '&';
+        const bool deep = rest.find("&probe=1&") != std::string::npos;
+        reset();
+        return check(deep);
+    }
+    core::Arrival arrival;
+    const std::string word = path.substr(path.rfind('/') + 1);
+    arrival.kind = path.find('/') == 0 ? front_.server().kind_of(word) : curlewreel::unknown;
+    if (arrival.kind == curlewreel::unknown) return refuse(404, "Not Found", !keep);
+    if (!post) return refuse(405, "Method Not Allowed", !keep);
+    const char* wrong = nullptr;
+    if (!fill(arrival, wrong)) {
+        spdlog::info("http: bad request, wrong or missing: {}", wrong);
+        return refuse(400, "Bad Request", !keep);
+    }
+    arrival.body = std::move(body_);
+    reset();
+    submit(std::move(arrival));
+}
+
+std::string HttpSession::format(const core::Answer& a, bool close) {
+    switch (a.verdict) {
+        case core::Verdict::served:
+            return message("200 OK", "Content-Type: application/octet-stream\r\n", a.body, close);
+        case core::Verdict::refused: {
+            std::string more;
+            if (a.hold_off > core::Span(0))
+                more = "Hold-Off-Ms: " + std::to_string((a.hold_off.count() + 999) / 1000) + "\r\n";
+            if (a.last) more += "No-Other-Server: 1\r\n";
+            return message("503 Service Unavailable", more, {}, close);
+        }
+        case core::Verdict::out_of_time: return message("504 Gateway Timeout", {}, {}, close);
+        case core::Verdict::failed: break;
+    }
+    return message("500 Internal Server Error", {}, {}, close);
+}
+
+std::string HttpSession::format_check(bool good, bool close) {
+    return message(good ? "200 OK" : "503 Service Unavailable", {}, {}, close);
+}
+std::string HttpSession::too_slow() { return message("408 Request Timeout", {}, {}, true); }
+
+}  // namespace cressledge::front::http
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,63 @@
+#include "net/loop.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <stdexcept>
+
+namespace cressledge::net {
+
+Loop::Loop(core::Deadlines& deadlines) : deadlines_(deadlines) {
+    // Guards against death by a write to a connection that the other side has closed.
+    std::signal(SIGPIPE, SIG_IGN);
+    if (uv_loop_init(&loop_) != 0) throw std::runtime_error("no event loop");
+    loop_.data = this;
+    uv_timer_init(&loop_, &timer_);
+    uv_prepare_init(&loop_, &prepare_);
+    uv_prepare_start(&prepare_, [](uv_prepare_t* p) { static_cast<Loop*>(p->loop->data)->arm(); });
+}
+
+Loop::~Loop() {
+    uv_walk(
+        &loop_,
+        [](uv_handle_t* h, void*) {
+            if (uv_is_closing(h) == 0) uv_close(h, nullptr);
+        },
+        nullptr);
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+}
+
+core::Time Loop::unix_now() {
+    return std::chrono::duration_cast<core::Time>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+void Loop::on_signal(int signal, std::function<void()> what) {
+    Signal& s = signals_.emplace_back();
+    s.what = std::move(what);
+    uv_signal_init(&loop_, &s.handle);
+    s.handle.data = &s;
+    uv_signal_start(
+        &s.handle, [](uv_signal_t* h, int) { static_cast<Signal*>(h->data)->what(); }, signal);
+}
+
+void Loop::arm() {
+    const auto next = deadlines_.next();
+    if (!next) {
+        uv_timer_stop(&timer_);
+        return;
+    }
+    // libuv counts whole milliseconds from a cached clock: both are allowed for, so that nothing comes early.
+    uv_update_time(&loop_);
+    const auto left = (*next - unix_now()).count();
+    const std::uint64_t ms = left <= 0 ? 0 : static_cast<std::uint64_t>((left + 999) / 1000);
+    uv_timer_start(
+        &timer_, [](uv_timer_t* t) { static_cast<Loop*>(t->loop->data)->due(); }, ms, 0);
+}
+
+void Loop::due() { deadlines_.run(unix_now()); }
+
+void Loop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
+void Loop::stop() { uv_stop(&loop_); }
+void Loop::turn() { uv_run(&loop_, UV_RUN_NOWAIT); }
+
+}  // namespace cressledge::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,180 @@
+#include "net/stream.hpp"
+
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+
+namespace cressledge::net {
+
+std::optional<Address> Address::parse(const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0) return std::nullopt;
+    std::string host = text.substr(0, colon);
+    const bool six = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (six) host = host.substr(1, host.size() - 2);
+    unsigned port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error != std::errc() || stop != end || port > 65535) return std::nullopt;
+    Address a;
+    const int bad =
+        six ? uv_ip6_addr(host.c_str(), static_cast<int>(port), reinterpret_cast<sockaddr_in6*>(&a.raw))
+            : uv_ip4_addr(host.c_str(), static_cast<int>(port), reinterpret_cast<sockaddr_in*>(&a.raw));
+    if (bad != 0) return std::nullopt;
+    return a;
+}
+
+Stream* Stream::dial(uv_loop_t* loop, const Address& address, Owner& owner) {
+    auto* s = new Stream(owner);
+    uv_tcp_init(loop, &s->tcp_);
+    s->tcp_.data = s;
+    s->connect_.data = s;
+    const int bad = uv_tcp_connect(
+        &s->connect_, &s->tcp_, reinterpret_cast<const sockaddr*>(&address.raw), [](uv_connect_t* c, int status) {
+            auto* self = static_cast<Stream*>(c->data);
+            if (self->closing_) return;
+            if (status != 0) return self->end(true);
+            self->open_ = true;
+            self->start();
+            if (self->owner_ != nullptr) self->owner_->on_open();
+        });
+    if (bad != 0) {  // no descriptor left, for one
+        s->close();
+        return nullptr;
+    }
+    return s;
+}
+
+Stream* Stream::accept(uv_stream_t* listener, Owner& owner) {
+    auto* s = new Stream(owner);
+    uv_tcp_init(listener->loop, &s->tcp_);
+    s->tcp_.data = s;
+    if (uv_accept(listener, reinterpret_cast<uv_stream_t*>(&s->tcp_)) != 0) {
+        s->close();
+        return nullptr;
+    }
+    s->open_ = true;
+    s->start();
+    return s;
+}
+
+void Stream::start() {
+    uv_tcp_nodelay(&tcp_, 1);
+    pause(false);
+}
+
+void Stream::pause(bool on) {
+    if (closing_ || !open_) return;
+    auto* stream = reinterpret_cast<uv_stream_t*>(&tcp_);
+    if (on) {
+        uv_read_stop(stream);
+        return;
+    }
+    uv_read_start(
+        stream,
+        [](uv_handle_t*, std::size_t, uv_buf_t* buf) {
+            // What is read is handed over before the next read, on one thread: one buffer serves all.
+            static char shared[64U << 10U];
+            *buf = uv_buf_init(shared, sizeof shared);
+        },
+        [](uv_stream_t* st, ssize_t n, const uv_buf_t* buf) {
+            auto* self = static_cast<Stream*>(st->data);
+            if (self->closing_ || n == 0) return;
+            if (n < 0) return self->end(false);
+            if (self->owner_ != nullptr) self->owner_->on_bytes({buf->base, static_cast<std::size_t>(n)});
+        });
+}
+
+bool Stream::write(std::string_view bytes) {
+    if (closing_ || finishing_ || !open_) return false;
+    auto* stream = reinterpret_cast<uv_stream_t*>(&tcp_);
+    if (unwritten_ == 0) {
+        const uv_buf_t now = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+        const int n = uv_try_write(stream, &now, 1);
+        if (n > 0) bytes.remove_prefix(static_cast<std::size_t>(n));
+        if (n < 0 && n != UV_EAGAIN) return true;  // broken: the reading side tells, in its turn
+    }
+    if (bytes.empty()) return true;
+    if (unwritten_ + bytes.size() > most_unwritten) return false;
+    struct Write {
+        uv_write_t request{};
+        std::string bytes;
+    };
+    auto* w = new Write{{}, std::string(bytes)};
+    w->request.data = this;
+    unwritten_ += w->bytes.size();
+    const uv_buf_t later = uv_buf_init(w->bytes.data(), static_cast<unsigned>(w->bytes.size()));
+    const int bad = uv_write(&w->request, stream, &later, 1, [](uv_write_t* r, int) {
+        auto* self = static_cast<Stream*>(r->data);
+        auto* done = reinterpret_cast<Write*>(r);
+        self->unwritten_ -= done->bytes.size();
+        delete done;
+        if (self->finishing_ && self->unwritten_ == 0) self->shut();
+    });
+    if (bad != 0) {
+        unwritten_ -= w->bytes.size();
+        delete w;
+        return false;
+    }
+    return true;
+}
+
+void Stream::finish() {
+    if (closing_ || finishing_) return;
+    finishing_ = true;
+    if (unwritten_ == 0) shut();
+}
+
+void Stream::shut() {
+    if (closing_ || shut_) return;
+    shut_ = true;
+    uv_shutdown(&shutdown_, reinterpret_cast<uv_stream_t*>(&tcp_), [](uv_shutdown_t*, int) {});
+}
+
+void Stream::end(bool refused) {
+    Owner* owner = owner_;
+    close();
+    if (owner != nullptr) owner->on_end(refused);
+}
+
+void Stream::close() {
+    owner_ = nullptr;
+    if (closing_) return;
+    closing_ = true;
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp_),
+             [](uv_handle_t* h) { delete static_cast<Stream*>(h->data); });
+}
+
+Listener::Listener(uv_loop_t* loop, const Address& address, std::function<void()> ready)
+    : tcp_(new uv_tcp_t), ready_(std::move(ready)) {
+    uv_tcp_init(loop, tcp_);
+    tcp_->data = this;
+    int bad = uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&address.raw), 0);
+    if (bad == 0)
+        bad = uv_listen(reinterpret_cast<uv_stream_t*>(tcp_), 511, [](uv_stream_t* s, int status) {
+            auto* self = static_cast<Listener*>(s->data);
+            if (status == 0 && self != nullptr) self->ready_();
+        });
+    if (bad != 0) {
+        close();
+        throw std::runtime_error(std::string("cannot listen: ") + uv_strerror(bad));
+    }
+}
+Listener::~Listener() { close(); }
+uv_stream_t* Listener::stream() { return reinterpret_cast<uv_stream_t*>(tcp_); }
+void Listener::close() {
+    if (tcp_ == nullptr) return;
+    tcp_->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+    tcp_ = nullptr;
+}
+int Listener::port() const {
+    sockaddr_storage name{};
+    int length = sizeof name;
+    if (tcp_ == nullptr || uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&name), &length) != 0) return 0;
+    return ntohs(name.ss_family == AF_INET6 ? reinterpret_cast<sockaddr_in6*>(&name)->sin6_port
+                                            : reinterpret_cast<sockaddr_in*>(&name)->sin_port);
+}
+
+}  // namespace cressledge::net
--- /dev/null
+++ b/src/platform/engine.hpp
@@ -0,0 +1,55 @@
+// The engine link: commands out, numbered notices in, over a link that may break and come back.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/server.hpp"
+#include "platform/link.hpp"
+
+namespace cressledge::platform {
+
+class Engine final : public Link, public core::Executor {
+public:
+    Engine(net::Loop& loop, core::Deadlines& deadlines, const net::Address& address, core::Server& server,
+           std::vector<std::string> gauges);
+    void connect() { dial(); }
+
+    void run(const core::Work& work) override;
+    void halt(core::RequestNo no) override;
+    void resume(core::RequestNo no) override;
+    void feed(core::RequestNo no, std::string_view reply) override;
+    void skip(core::RequestNo no, std::uint64_t notice) override;
+    bool sample(std::uint64_t tag) override;
+    bool test(std::uint64_t tag) override;
+    void release(core::RequestNo no) override;
+
+    void on_open() override;
+    void on_bytes(std::string_view bytes) override;
+    void on_end(bool refused) override;
+
+private:
+    struct Job {
+        std::string name;
+        std::string unproved;  // the last command, until a notice shows that it was carried out
+        std::uint64_t order = 0;
+        bool started = false, halting = false;
+    };
+    void command(core::RequestNo no, std::string bytes);
+    void send(std::string_view bytes);
+    void handle(const std::vector<std::string_view>& words, std::string_view body);
+    void in_step();
+    void lose(const char* why);
+
+    core::Server& server_;
+    const std::vector<std::string> gauges_;  // in the order in which the engine says them
+    Lines lines_;
+    std::unordered_map<core::RequestNo, Job> jobs_;
+    std::unordered_map<std::string, core::RequestNo> names_;
+    std::uint64_t last_notice_ = 0, order_ = 0, links_ = 0;
+    bool in_step_ = false;  // this link has brought all that the last one missed
+};
+
+}  // namespace cressledge::platform
