Add the SCGI front, the upstream executor, inventory and the operator's file

A second path from request to answer on the same core: SCGI and HTTP fronts share the life of a connection and the platform's fields; the executor calls servers of the inventory; check reads the files.

--- /dev/null
+++ b/src/config/operator.cpp
@@ -0,0 +1,138 @@
+#include "config/operator.hpp"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cmath>
+#include <initializer_list>
+#include <set>
+
+#include "config/node.hpp"
+#include "net/stream.hpp"
+
+namespace cressledge::config {
+namespace {
+
+class Reader {
+public:
+    explicit Reader(const std::string& path) : path_(path) {}
+
+    [[noreturn]] void fail(const YAML::Node& at, const std::string& field, const std::string& what) const {
+        const int line = at.IsDefined() ? at.Mark().line : 0;
+        throw Invalid(path_ + ":" + std::to_string(std::max(0, line) + 1) + ": " + field + ": " + what);
+    }
+    // Guards against a misspelt name that would quietly leave a default in force.
+    void only(const YAML::Node& map, const std::string& field, std::initializer_list<const char*> names) const {
+        if (!map.IsMap()) fail(map, field, "not a mapping");
+        std::set<std::string> seen;
+        for (const auto& entry : map) {
+            const std::string key = entry.first.Scalar();
+            bool known = false;
+            for (const char* name : names) known = known || key == name;
+            if (!known) fail(entry.first, key, "no such field");
+            if (!seen.insert(key).second) fail(entry.first, key, "a duplicate");
+        }
+    }
+    std::string text(const YAML::Node& map, const char* name, const char* otherwise = nullptr) const {
+        const YAML::Node v = map[name];
+        if (!v && otherwise != nullptr) return otherwise;
+        if (!v) fail(map, name, "missing");
+        if (!v.IsScalar() || v.Scalar().empty()) fail(v, name, "not a text");
+        return v.Scalar();
+    }
+    double number(const YAML::Node& map, const char* name, double least, double most, double otherwise) const {
+        const YAML::Node v = map[name];
+        if (!v && !std::isnan(otherwise)) return otherwise;
+        if (!v) fail(map, name, "missing");
+        double n = 0.0;
+        if (!YAML::convert<double>::decode(v, n) || !(n >= least && n <= most))
+            fail(v, name, "not a number from " + brief(least) + " to " + brief(most));
+        return n;
+    }
+    curlewreel::Span span(const YAML::Node& map, const char* name, double least, double otherwise) const {
+        return curlewreel::Span(std::llround(number(map, name, least, 3'600'000.0, otherwise) * 1000.0));
+    }
+    std::string address(const YAML::Node& map, const char* name) const {
+        if (!map[name]) return {};
+        const std::string a = text(map, name);
+        if (!net::Address::parse(a)) fail(map[name], name, "not an address with a port: " + a);
+        return a;
+    }
+
+private:
+    static std::string brief(double n) {
+        std::string s = std::to_string(n);
+        s.erase(s.find_last_not_of('0') + 1);
+        if (s.back() == '.') s.pop_back();
+        return s;
+    }
+    const std::string& path_;
+};
+
+constexpr double needed = std::numeric_limits<double>::quiet_NaN();
+
+curlewreel::Class class_from(const Reader& r, const YAML::Node& c) {
+    r.only(c, "classes",
+           {"name", "effect", "worth", "late_worth", "target_ms", "deadline_ms"});
+    curlewreel::Class k;
+    k.name = r.text(c, "name");
+    const std::string effect = r.text(c, "effect");
+    if (effect != "safe" && effect != "unsafe") r.fail(c["effect"], "effect", "neither safe nor unsafe: " + effect);
+    k.effect = effect == "safe" ? curlewreel::Effect::safe : curlewreel::Effect::unsafe;
+    k.worth = r.number(c, "worth", 0.0, 1e6, 1.0);
+    k.late_worth = r.number(c, "late_worth", 0.0, 1.0, 0.0);
+    k.target = r.span(c, "target_ms", 1.0, needed);
+    k.deadline = r.span(c, "deadline_ms", 1.0, needed);
+    if (k.deadline < k.target) r.fail(c["deadline_ms"], "deadline_ms", "before target_ms");
+    return k;
+}
+
+Operator read(const std::string& path, const YAML::Node& doc) {
+    const Reader r(path);
+    r.only(doc, "file", {"listen", "inventory", "group", "stop_ms", "drain_grace_ms", "header_ms", "connections",
+                         "request_kb", "cores", "memory_kb", "run_factor", "hold_off_ms", "classes"});
+    Operator o;
+    o.path = path;
+    const YAML::Node listen = doc["listen"];
+    if (!listen) r.fail(doc, "listen", "missing");
+    r.only(listen, "listen", {"scgi", "http"});
+    o.scgi = r.address(listen, "scgi");
+    o.http = r.address(listen, "http");
+    if (o.scgi.empty() && o.http.empty()) r.fail(listen, "listen", "neither scgi nor http");
+    o.inventory = r.text(doc, "inventory");
+    if (o.inventory.front() != '/') o.inventory.insert(0, path.substr(0, path.rfind('/') + 1));
+    o.group = r.text(doc, "group", "");
+    o.stop = r.span(doc, "stop_ms", 200.0, 3000.0);
+    o.whole = r.span(doc, "header_ms", 1.0, 5000.0);
+    o.connections = static_cast<std::size_t>(r.number(doc, "connections", 1.0, 10'000.0, 256.0));
+    o.request_kb = r.number(doc, "request_kb", 0.001, 1999.0, 24.0);
+    curlewreel::Settings& s = o.settings;
+    s.cores = static_cast<int>(r.number(doc, "cores", 1.0, 1024.0, needed));
+    s.memory_kb = r.number(doc, "memory_kb", 1.0, 1e9, 65536.0);
+    s.run_factor = r.number(doc, "run_factor", 1.0, 1000.0, 1.0);
+    s.max_retry_after = r.span(doc, "hold_off_ms", 0.0, 1000.0);
+    s.drain_grace = r.span(doc, "drain_grace_ms", 0.0, 2000.0);
+    s.crowd = 5.0;
+    s.crowd_over = curlewreel::Span(2'000'000);
+    s.stop = curlewreel::Stop::discard;  // a call that nobody waits for is closed, and its work is lost
+    const YAML::Node classes = doc["classes"];
+    if (!classes || !classes.IsSequence() || classes.size() == 0) r.fail(classes ? classes : doc, "classes", "no list");
+    std::set<std::string> names;
+    for (const auto& c : classes) {
+        s.classes.push_back(class_from(r, c));
+        if (!names.insert(s.classes.back().name).second) r.fail(c, "name", "a duplicate: " + s.classes.back().name);
+    }
+    return o;
+}
+
+}  // namespace
+
+Operator load_operator(const std::string& path) {
+    const std::string source = read_file(path);
+    try {
+        return read(path, YAML::Load(source));
+    } catch (const YAML::Exception& e) {
+        throw Invalid(path + ":" + std::to_string(std::max(0, e.mark.line) + 1) + ": yaml: " + e.msg);
+    }
+}
+
+}  // namespace cressledge::config
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -235,7 +235,8 @@
     }
     e->state = State::running;
     e->ran = true;
-    executor_->run({a.id, e->arrival.name, settings_.classes[e->arrival.kind].name, e->arrival.body, e->due});
+    const Arrival& r = e->arrival;
+    executor_->run({a.id, r.name, settings_.classes[r.kind].name, r.body, r.held_kb, r.accepted, e->due});
 }
 
 void Server::carry(const curlewreel::Refuse& a) {
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -48,7 +48,8 @@
 struct Work {
     RequestNo no = 0;
     std::string_view name, kind, body;
-    Time due{0};
+    double held_kb = 0.0;
+    Time accepted{0}, due{0};
 };
 class Executor {  // runs work; reports to Server::ended, needs, sampled and tested, later or at once
 public:
--- /dev/null
+++ b/src/front/fields.cpp
@@ -0,0 +1,67 @@
+#include "front/fields.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace cressledge::front {
+namespace {
+
+template <class T>
+bool number(const std::string& text, T& to) {
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, to);
+    return !text.empty() && error == std::errc() && stop == end;
+}
+bool within(const std::string& text, double least, double below, double& to) {
+    return number(text, to) && std::isfinite(to) && to >= least && to < below;
+}
+bool hex16(const std::string& text) {
+    return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+}  // namespace
+
+std::string Supply::id() {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(random_()));
+    return text;
+}
+
+void Fields::set(std::string_view name, std::string_view value) {
+    static constexpr std::string_view names[count] = {"trace-id",   "accepted-at-ms", "client-no", "expected-ms",
+                                                      "reserve-kb", "standing",       "lookup-key"};
+    for (std::size_t i = 0; i < count; ++i) {
+        if (name != names[i]) continue;
+        twice_ = twice_ || !values_[i].empty();
+        values_[i] = std::string(value);
+    }
+}
+
+bool Fields::fill(core::Arrival& a, Supply* supply, core::Time now, const char*& wrong) const {
+    const auto bad = [&](const char* name) {
+        wrong = name;
+        return false;
+    };
+    const auto lacks = [&](Field f) { return supply != nullptr && values_[f].empty(); };
+    if (twice_) return bad("a field that came twice");
+    if (!lacks(id) && !hex16(values_[id])) return bad("Trace-Id");
+    std::int64_t ms = 0;
+    if (!lacks(stamp) && (!number(values_[stamp], ms) || ms <= 0 || ms > 100'000'000'000'000))
+        return bad("Accepted-At-Ms");
+    if (!values_[caller].empty() && !number(values_[caller], a.caller)) return bad("Client-No");
+    double hint_ms = 0.0;
+    if (!values_[hint].empty() && !within(values_[hint], 0.0, 1e9, hint_ms)) return bad("Expected-Ms");
+    if (!lacks(size) && (!within(values_[size], 0.0, 2000.0, a.held_kb) || a.held_kb <= 0.0))
+        return bad("Reserve-Kb");
+    if (!values_[rank].empty() && !within(values_[rank], 0.0, 1.0, a.rank)) return bad("Standing");
+    if (!values_[key].empty() && !hex16(values_[key])) return bad("Lookup-Key");
+    a.name = lacks(id) ? supply->id() : values_[id];
+    a.accepted = lacks(stamp) ? now : core::Time(ms * 1000);
+    if (lacks(size)) a.held_kb = supply->held_kb();
+    a.key = values_[key];
+    a.hint = hint_ms / 1000.0;
+    return true;
+}
+
+}  // namespace cressledge::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -118,6 +118,14 @@
     });
 }
 
+bool Session::on_eof() {
+    if (busy_ || finished_ || !partial()) return false;
+    const std::string bytes = cut_short();
+    if (bytes.empty()) return false;
+    say(bytes, true);
+    return true;
+}
+
 void Session::on_end(bool) {
     stream_ = nullptr;
     const core::RequestNo request = std::exchange(request_, 0);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -19,6 +19,7 @@
 public:
     explicit Session(Front& front) : front_(front) {}
     void on_bytes(std::string_view bytes) final;
+    bool on_eof() final;
     void on_end(bool refused) final;
     void answer(const core::Answer& answer);
     void checked(bool good);
@@ -30,6 +31,7 @@
     virtual std::string format(const core::Answer& answer, bool close) = 0;
     virtual std::string format_check(bool good, bool close) = 0;
     virtual std::string too_slow() = 0;  // the answer to a request that does not get whole
+    virtual std::string cut_short() { return {}; }  // the answer to one that ended unwhole; empty: none
     virtual bool keep_alive() const = 0;
 
     void submit(core::Arrival arrival);
--- a/src/front/http/session.cpp
+++ b/src/front/http/session.cpp
@@ -2,9 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include <array>
-#include <charconv>
-#include <cmath>
+#include <cctype>
 
 namespace cressledge::front::http {
 namespace {
@@ -20,18 +18,6 @@
     return out.append("\r\n").append(body);
 }
 
-template <class T>
-bool number(const std::string& text, T& to) {
-    const char* end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, to);
-    return !text.empty() && error == std::errc() && stop == end;
-}
-bool finite(const std::string& text, double least, double below, double& to) {
-    return number(text, to) && std::isfinite(to) && to >= least && to < below;
-}
-bool hex16(const std::string& text) {
-    return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
-}
 bool same(const std::string& a, const char* b) {
     std::size_t i = 0;
     for (; i < a.size() && b[i] != '\0'; ++i)
@@ -65,7 +51,7 @@
                 me.too_large_ = true;
                 return -1;
             }
-            if (same(me.fields_[expect], "100-continue")) me.interim("HTTP/1.1 100 Continue\r\n\r\n");
+            if (me.expects_) me.interim("HTTP/1.1 100 Continue\r\n\r\n");
             return 0;
         };
         s.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -96,7 +82,7 @@
     }
 };
 
-HttpSession::HttpSession(Front& front) : Session(front) { reset(); }
+HttpSession::HttpSession(Front& front, Supply* supply) : Session(front), supply_(supply) { reset(); }
 
 void HttpSession::reset() {
     http_parser_init(&parser_, HTTP_REQUEST);
@@ -105,20 +91,15 @@
     name_.clear();
     value_.clear();
     body_.clear();
-    for (std::string& f : fields_) f.clear();
+    fields_ = {};
     head_bytes_ = 0;
-    begun_ = in_value_ = twice_ = too_long_ = too_large_ = whole_ = false;
+    begun_ = in_value_ = expects_ = too_long_ = too_large_ = whole_ = false;
 }
 
 void HttpSession::field_done() {
-    static constexpr std::array<const char*, other> names{"trace-id",   "accepted-at-ms", "client-no",
-                                                          "expected-ms", "reserve-kb",     "standing",
-                                                          "lookup-key",  "expect"};
-    for (std::size_t i = 0; i < names.size(); ++i) {
-        if (!same(name_, names[i])) continue;
-        twice_ = twice_ || !fields_[i].empty();
-        fields_[i] = value_;
-    }
+    for (char& c : name_) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    fields_.set(name_, value_);
+    expects_ = expects_ || (name_ == "expect" && same(value_, "100-continue"));
     name_.clear();
     value_.clear();
     in_value_ = false;
@@ -147,28 +128,6 @@
     say(message(line.c_str(), {}, {}, close), close);
 }
 
-bool HttpSession::fill(core::Arrival& a, const char*& wrong) const {
-    const auto bad = [&](const char* name) {
-        wrong = name;
-        return false;
-    };
-    if (twice_) return bad("a field that came twice");
-    if (!hex16(fields_[id])) return bad("Trace-Id");
-    std::int64_t ms = 0;
-    if (!number(fields_[stamp], ms) || ms <= 0 || ms > 100'000'000'000'000) return bad("Accepted-At-Ms");
-    if (!fields_[caller].empty() && !number(fields_[caller], a.caller)) return bad("Client-No");
-    double hint_ms = 0.0;
-    if (!fields_[hint].empty() && !finite(fields_[hint], 0.0, 1e9, hint_ms)) return bad("Expected-Ms");
-    if (!finite(fields_[size], 0.0, 2000.0, a.held_kb) || a.held_kb <= 0.0) return bad("Reserve-Kb");
-    if (!fields_[rank].empty() && !finite(fields_[rank], 0.0, 1.0, a.rank)) return bad("Standing");
-    if (!fields_[key].empty() && !hex16(fields_[key])) return bad("Lookup-Key");
-    a.name = fields_[id];
-    a.key = fields_[key];
-    a.hint = hint_ms / 1000.0;
-    a.accepted = core::Time(ms * 1000);
-    return true;
-}
-
 void HttpSession::whole() {
     const bool get = parser_.method == HTTP_GET, post = parser_.method == HTTP_POST, keep = keep_alive_;
     const std::size_t query = url_.find('?');
@@ -186,7 +145,7 @@
     if (arrival.kind == curlewreel::unknown) return refuse(404, "Not Found", !keep);
     if (!post) return refuse(405, "Method Not Allowed", !keep);
     const char* wrong = nullptr;
-    if (!fill(arrival, wrong)) {
+    if (!fields_.fill(arrival, supply_, front_.server().now(), wrong)) {
         spdlog::info("http: bad request, wrong or missing: {}", wrong);
         return refuse(400, "Bad Request", !keep);
     }
--- a/src/front/http/session.hpp
+++ b/src/front/http/session.hpp
@@ -5,13 +5,14 @@
 
 #include <string>
 
+#include "front/fields.hpp"
 #include "front/front.hpp"
 
 namespace cressledge::front::http {
 
 class HttpSession final : public Session {
 public:
-    explicit HttpSession(Front& front);
+    explicit HttpSession(Front& front, Supply* supply = nullptr);
 
 protected:
     std::size_t parse(std::string_view bytes) override;
@@ -23,18 +24,17 @@
 
 private:
     struct Hooks;
-    enum Field { id, stamp, caller, hint, size, rank, key, expect, other, count };
     void reset();
     void field_done();
     void whole();
     void refuse(int status, const char* why, bool close = true);
-    bool fill(core::Arrival& arrival, const char*& wrong) const;
 
     http_parser parser_{};
     std::string url_, name_, value_, body_;
-    std::string fields_[count];
+    Fields fields_;
+    Supply* const supply_;
     std::size_t head_bytes_ = 0;
-    bool begun_ = false, in_value_ = false, twice_ = false, too_long_ = false, too_large_ = false;
+    bool begun_ = false, in_value_ = false, expects_ = false, too_long_ = false, too_large_ = false;
     bool whole_ = false, keep_alive_ = true;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,33 +2,74 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <random>
 
+#include "config/inventory.hpp"
 #include "config/node.hpp"
+#include "config/operator.hpp"
 #include "net/loop.hpp"
 #include "platform/node.hpp"
+#include "upstream/gateway.hpp"
 
 namespace {
 
 constexpr const char* version = "0.2.0";
 
-int serve(const std::string& path) {
-    cressledge::config::Node config;
+namespace config = cressledge::config;
+
+config::Node node_config(const std::string& path) {
+    const std::string source = config::read_file(path);
     try {
-        config = cressledge::config::node_from_json(cressledge::config::read_file(path));
-    } catch (const cressledge::config::Invalid& e) {
-        throw cressledge::config::Invalid(path + ": " + e.what());
+        return config::node_from_json(source);
+    } catch (const config::Invalid& e) {
+        throw config::Invalid(path + ": " + e.what());
     }
+}
+
+int serve(const std::string& path) {
+    const config::Node settings = node_config(path);
     cressledge::core::Deadlines deadlines;
     cressledge::net::Loop loop(deadlines);
-    cressledge::platform::Node node(loop, deadlines, config);
+    cressledge::platform::Node node(loop, deadlines, settings);
     node.start();
     loop.run();
     return 0;
 }
 
+int serve_operator(const std::string& path) {
+    const config::Operator settings = config::load_operator(path);
+    cressledge::core::Deadlines deadlines;
+    cressledge::net::Loop loop(deadlines);
+    cressledge::upstream::Gateway gateway(loop, deadlines, loop, settings, std::random_device()());
+    gateway.start();
+    loop.run();
+    return 0;
+}
+
+// Says what each file is and what is in force with it; the first bad one ends it.
+int check(const std::vector<std::string>& files) {
+    if (files.empty()) throw config::Invalid("check: no file named");
+    for (const std::string& path : files) {
+        const std::string ending = path.substr(std::min(path.rfind('.'), path.size()));
+        if (ending == ".json") {
+            const config::Node n = node_config(path);
+            std::cout << path << ": configuration of node " << n.name << ", " << n.settings.classes.size()
+                      << " classes\n";
+        } else if (ending == ".csv" || config::is_inventory(path)) {
+            std::cout << path << ": inventory of " << config::load_inventory(path).size() << " servers\n";
+        } else {
+            const config::Operator o = config::load_operator(path);
+            std::cout << path << ": operator's file, " << cressledge::upstream::servers_of(o).size()
+                      << " servers in force\n";
+        }
+    }
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -36,25 +77,36 @@
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     try {
         cxxopts::Options options("cressledge", "Map server of Sentiers du Sahel Cartographie");
-        options.positional_help("serve|version");
-        options.add_options()("command", "what to do", cxxopts::value<std::string>()->default_value("serve"))(
-            "config", "the node's configuration; default: $NODE_CONFIG", cxxopts::value<std::string>())(
+        options.positional_help("[serve|check|version] [FILE...]");
+        options.add_options()("command", "serve: the default; check: read files and say what is wrong; version",
+                              cxxopts::value<std::string>()->default_value("serve"))(
+            "files", "the files to check", cxxopts::value<std::vector<std::string>>()->default_value(""))(
+            "c,config", "serve: the node's configuration instead of $NODE_CONFIG", cxxopts::value<std::string>())(
+            "o,operator", "serve: an operator's file, for SCGI and an inventory", cxxopts::value<std::string>())(
             "h,help", "print this");
-        options.parse_positional({"command"});
+        options.parse_positional({"command", "files"});
         const auto given = options.parse(argc, argv);
         if (given.count("help") != 0) {
             std::cout << options.help();
             return 0;
         }
         const auto command = given["command"].as<std::string>();
+        if (command == "check")
+            return check(given.count("files") != 0 ? given["files"].as<std::vector<std::string>>()
+                                                   : std::vector<std::string>());
+        if (given.count("files") != 0) throw config::Invalid(command + ": takes no files");
         if (command == "version") {
             std::cout << "cressledge " << version << '\n';
             return 0;
         }
-        if (command != "serve") throw cressledge::config::Invalid("no such command: " + command);
+        if (command != "serve") throw config::Invalid("no such command: " + command);
+        if (given.count("operator") != 0) {
+            if (given.count("config") != 0) throw config::Invalid("serve: --config and --operator exclude each other");
+            return serve_operator(given["operator"].as<std::string>());
+        }
         const char* env = std::getenv("NODE_CONFIG");
         if (given.count("config") == 0 && env == nullptr)
-            throw cressledge::config::Invalid("serve: neither --config nor NODE_CONFIG names a file");
+            throw config::Invalid("serve: neither --config nor --operator nor NODE_CONFIG names a file");
         return serve(given.count("config") != 0 ? given["config"].as<std::string>() : env);
     } catch (const std::exception& e) {
         std::cerr << "cressledge: " << e.what() << '\n';
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -80,6 +80,10 @@
         [](uv_stream_t* st, ssize_t n, const uv_buf_t* buf) {
             auto* self = static_cast<Stream*>(st->data);
             if (self->closing_ || n == 0) return;
+            if (n == UV_EOF && self->owner_ != nullptr && self->owner_->on_eof()) {
+                uv_read_stop(st);
+                return;
+            }
             if (n < 0) return self->end(false);
             if (self->owner_ != nullptr) self->owner_->on_bytes({buf->base, static_cast<std::size_t>(n)});
         });
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -24,6 +24,8 @@
         virtual ~Owner() = default;
         virtual void on_open() {}
         virtual void on_bytes(std::string_view bytes) = 0;
+        // The other side has sent its last byte. True: it may still read an answer, which finish() will end.
+        virtual bool on_eof() { return false; }
         // The other side ended it, it broke, or it never came about (refused). The stream is gone by then.
         virtual void on_end(bool refused) = 0;
     };
--- a/src/platform/engine.cpp
+++ b/src/platform/engine.cpp
@@ -178,7 +178,10 @@
         if (!number(w[2], ms) || !(ms >= 0.0)) ms = 0.0;
         if (server_.started()) return;
         spdlog::info("engine: up, {}, {} ms ago", w[1], ms);
-        server_.start(loop_.unix_now() - core::Span(std::llround(std::min(ms, 1e9) * 1000.0)));
+        // A cold engine has warmed since its start; the age of one that came up loaded tells nothing.
+        const core::Span age(std::llround(std::min(ms, 1e9) * 1000.0));
+        const curlewreel::Settings& s = server_.settings();
+        server_.start(loop_.unix_now() - (s.cold ? std::min(age, s.cold_for) : core::Span(0)));
     } else if (what == "NO" && w.size() >= 3) {
         spdlog::warn("engine: not carried out: {} {}", w[1], w[2]);
         const auto found = names_.find(std::string(w[2]));
--- a/src/platform/node.hpp
+++ b/src/platform/node.hpp
@@ -1,11 +1,9 @@
 // One server on the platform: the HTTP front, the engine, the records service and the directory round the core.
 #pragma once
 
-#include <memory>
-
 #include "config/node.hpp"
 #include "core/server.hpp"
-#include "front/front.hpp"
+#include "front/doors.hpp"
 #include "platform/directory.hpp"
 #include "platform/engine.hpp"
 #include "platform/records.hpp"
@@ -16,19 +14,14 @@
 public:
     Node(net::Loop& loop, core::Deadlines& deadlines, const config::Node& config);
     void start();
-    void idle_limit(core::Span limit) override { front_.idle_limit(limit); }
-    int port() const { return front_.port(); }
-
-private:
     void leave();  // the notice to leave
-    void last_moments();
-    void settle();
+    void idle_limit(core::Span limit) override { doors_.idle_limit(limit); }
+    int port() { return doors_.last().port(); }
 
+private:
     net::Loop& loop_;
-    core::Deadlines& deadlines_;
-    const core::Span stop_;
     core::Server server_;
-    front::Front front_;
+    front::Doors doors_;
     Engine engine_;
     RecordsClient records_;
     Directory directory_;
--- /dev/null
+++ b/src/upstream/gateway.hpp
@@ -0,0 +1,45 @@
+// The operator's set-up: SCGI (and HTTP) fronts before the core, servers of the inventory behind it.
+#pragma once
+
+#include "config/operator.hpp"
+#include "core/server.hpp"
+#include "front/doors.hpp"
+#include "front/fields.hpp"
+#include "upstream/executor.hpp"
+
+namespace cressledge::upstream {
+
+class NoRecords final : public core::Records {  // what runs upstream makes its own calls
+public:
+    void call(core::RequestNo, std::string_view, std::string_view, core::Time) override {}
+    void abandon(core::RequestNo) override {}
+};
+
+class Gateway final : public core::Surroundings {
+public:
+    // The core goes by `clock`; the loop is one, and tests bring their own.
+    Gateway(net::Loop& loop, core::Deadlines& deadlines, core::Clock& clock, const config::Operator& config,
+            std::uint64_t seed);
+    void start();  // and take signals
+    void leave() { doors_.leave(); }
+    void reload();  // the inventory; a bad file leaves the old one in force
+    void idle_limit(core::Span limit) override { doors_.idle_limit(limit); }
+    core::Server& server() { return server_; }
+    int scgi_port() const { return scgi_port_; }
+    int http_port() const { return http_port_; }
+
+private:
+    const config::Operator config_;
+    net::Loop& loop_;
+    core::Server server_;
+    front::Supply supply_;
+    front::Doors doors_;
+    NoRecords records_;
+    Upstream upstream_;
+    int scgi_port_ = 0, http_port_ = 0;
+};
+
+// The servers that the operator's file asks for; throws config::Invalid if there is none.
+std::vector<config::Upstream> servers_of(const config::Operator& config);
+
+}  // namespace cressledge::upstream
