--- a/src/config/inventory.cpp
+++ b/src/config/inventory.cpp
@@ -49,7 +49,8 @@
 
 std::vector<Upstream> from_csv(const std::string& path, const std::string& text) {
     csv_parser parser;
-    if (csv_init(&parser, CSV_STRICT | CSV_STRICT_FINI | CSV_APPEND_NULL) != 0) throw Invalid("no CSV parser");
+    if (csv_init(&parser, CSV_STRICT | CSV_STRICT_FINI | CSV_APPEND_NULL) != 0)
+        throw Invalid("no CSV parser");
     struct Free {
         csv_parser* p;
         ~Free() { csv_free(p); }
@@ -70,7 +71,8 @@
             return;
         }
         if (cells.size() != columns.size())
-            fail(path, line, "row", std::to_string(cells.size()) + " fields, not " + std::to_string(columns.size()));
+            fail(path, line, "row",
+                 std::to_string(cells.size()) + " fields, not " + std::to_string(columns.size()));
         const auto cell = [&](const char* name) { return cells[columns.at(name)]; };
         checked.add({cell("name"), cell("address"), cell("protocol"), cell("group")}, line);
     };
@@ -87,7 +89,8 @@
         row(line);
         at = end;
     }
-    if (csv_fini(&parser, field, ended, &table) != 0) fail(path, line, "row", csv_strerror(csv_error(&parser)));
+    if (csv_fini(&parser, field, ended, &table) != 0)
+        fail(path, line, "row", csv_strerror(csv_error(&parser)));
     row(line);
     if (columns.empty()) fail(path, 1, "row", "no header row");
     return checked.all;
@@ -140,7 +143,8 @@
     void host(const YAML::Node& key, const YAML::Node& node, const std::string& name, Vars all) {
         vars(node, key.Scalar(), all);
         Upstream u{key.Scalar(), all["address"], all["protocol"], name};
-        if (u.address.empty() && !all["ansible_host"].empty()) u.address = all["ansible_host"] + ':' + all["port"];
+        if (u.address.empty() && !all["ansible_host"].empty())
+            u.address = all["ansible_host"] + ':' + all["port"];
         checked_.add(std::move(u), line(key));
     }
 
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -21,7 +21,8 @@
         throw Invalid(path_ + ":" + std::to_string(std::max(0, line) + 1) + ": " + field + ": " + what);
     }
     // Guards against a misspelt name that would quietly leave a default in force.
-    void only(const YAML::Node& map, const std::string& field, std::initializer_list<const char*> names) const {
+    void only(const YAML::Node& map, const std::string& field,
+              std::initializer_list<const char*> names) const {
         if (!map.IsMap()) fail(map, field, "not a mapping");
         std::set<std::string> seen;
         for (const auto& entry : map) {
@@ -39,7 +40,8 @@
         if (!v.IsScalar() || v.Scalar().empty()) fail(v, name, "not a text");
         return v.Scalar();
     }
-    double number(const YAML::Node& map, const char* name, double least, double most, double otherwise) const {
+    double number(const YAML::Node& map, const char* name, double least, double most,
+                  double otherwise) const {
         const YAML::Node v = map[name];
         if (!v && !std::isnan(otherwise)) return otherwise;
         if (!v) fail(map, name, "missing");
@@ -71,12 +73,12 @@
 constexpr double needed = std::numeric_limits<double>::quiet_NaN();
 
 curlewreel::Class class_from(const Reader& r, const YAML::Node& c) {
-    r.only(c, "classes",
-           {"name", "effect", "worth", "late_worth", "target_ms", "deadline_ms"});
+    r.only(c, "classes", {"name", "effect", "worth", "late_worth", "target_ms", "deadline_ms"});
     curlewreel::Class k;
     k.name = r.text(c, "name");
     const std::string effect = r.text(c, "effect");
-    if (effect != "safe" && effect != "unsafe") r.fail(c["effect"], "effect", "neither safe nor unsafe: " + effect);
+    if (effect != "safe" && effect != "unsafe")
+        r.fail(c["effect"], "effect", "neither safe nor unsafe: " + effect);
     k.effect = effect == "safe" ? curlewreel::Effect::safe : curlewreel::Effect::unsafe;
     k.worth = r.number(c, "worth", 0.0, 1e6, 1.0);
     k.late_worth = r.number(c, "late_worth", 0.0, 1.0, 0.0);
@@ -88,8 +90,9 @@
 
 Operator read(const std::string& path, const YAML::Node& doc) {
     const Reader r(path);
-    r.only(doc, "file", {"listen", "inventory", "group", "stop_ms", "drain_grace_ms", "header_ms", "connections",
-                         "request_kb", "cores", "memory_kb", "run_factor", "hold_off_ms", "classes"});
+    r.only(doc, "file",
+           {"listen", "inventory", "group", "stop_ms", "drain_grace_ms", "header_ms", "connections",
+            "request_kb", "cores", "memory_kb", "run_factor", "hold_off_ms", "classes"});
     Operator o;
     o.path = path;
     const YAML::Node listen = doc["listen"];
@@ -115,11 +118,13 @@
     s.crowd_over = curlewreel::Span(2'000'000);
     s.stop = curlewreel::Stop::discard;  // a call that nobody waits for is closed, and its work is lost
     const YAML::Node classes = doc["classes"];
-    if (!classes || !classes.IsSequence() || classes.size() == 0) r.fail(classes ? classes : doc, "classes", "no list");
+    if (!classes || !classes.IsSequence() || classes.size() == 0)
+        r.fail(classes ? classes : doc, "classes", "no list");
     std::set<std::string> names;
     for (const auto& c : classes) {
         s.classes.push_back(class_from(r, c));
-        if (!names.insert(s.classes.back().name).second) r.fail(c, "name", "a duplicate: " + s.classes.back().name);
+        if (!names.insert(s.classes.back().name).second)
+            r.fail(c, "name", "a duplicate: " + s.classes.back().name);
     }
     return o;
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -48,8 +48,8 @@
     using curlewreel::Effect;
     curlewreel::Class k;
     k.name = text(c, "name");
-    k.effect =
-        choice<Effect>(text(c, "effect"), {{"free", Effect::safe}, {"guarded", Effect::keyed}}, Effect::unsafe);
+    k.effect = choice<Effect>(text(c, "effect"), {{"free", Effect::safe}, {"guarded", Effect::keyed}},
+                              Effect::unsafe);
     k.worth = number(c, "importance", k.worth);
     k.late_worth = number(c, "late-worth", 0.0);
     k.deadline = span(c, "deadline", k.deadline);
@@ -84,7 +84,8 @@
         s.classes.push_back(class_from(classes[i], nth(calls, i), nth(skips, i)));
     const json& tenants = part(info, "accounts");
     if (tenants.is_array())
-        for (const json& t : tenants) s.tenants.push_back({text(t, "name"), number(t, "allowance-per-s", 0.0)});
+        for (const json& t : tenants)
+            s.tenants.push_back({text(t, "name"), number(t, "allowance-per-s", 0.0)});
     s.run_factor = number(domain, "blowup", s.run_factor);
     s.key_kb = number(domain, "kb-per-key", s.key_kb);
     s.replicas = static_cast<int>(number(info, "replicas-of-me", 1));
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -19,9 +19,10 @@
 
 }  // namespace
 
-Server::Server(curlewreel::Settings settings, std::unique_ptr<curlewreel::Controller> controller, Clock& clock,
-               Deadlines& deadlines)
-    : settings_(std::move(settings)), controller_(std::move(controller)), clock_(clock), deadlines_(deadlines) {}
+Server::Server(curlewreel::Settings settings, std::unique_ptr<curlewreel::Controller> controller,
+               Clock& clock, Deadlines& deadlines)
+    : settings_(std::move(settings)), controller_(std::move(controller)), clock_(clock),
+      deadlines_(deadlines) {}
 
 void Server::attach(Executor& executor, Records& records, Surroundings& surroundings) {
     executor_ = &executor;
@@ -205,8 +206,9 @@
     if (e.answered) return;
     e.answered = true;
     --unanswered_;
-    ++(a.verdict == Verdict::served ? counts_.served
-                                    : a.verdict == Verdict::refused ? counts_.refused : counts_.failed);
+    ++(a.verdict == Verdict::served    ? counts_.served
+       : a.verdict == Verdict::refused ? counts_.refused
+                                       : counts_.failed);
     e.responder->answer(e.ticket, a);
 }
 
--- a/src/front/fields.cpp
+++ b/src/front/fields.cpp
@@ -29,8 +29,8 @@
 }
 
 void Fields::set(std::string_view name, std::string_view value) {
-    static constexpr std::string_view names[count] = {"trace-id",   "accepted-at-ms", "client-no", "expected-ms",
-                                                      "reserve-kb", "standing",       "lookup-key"};
+    static constexpr std::string_view names[count] = {
+        "trace-id", "accepted-at-ms", "client-no", "expected-ms", "reserve-kb", "standing", "lookup-key"};
     for (std::size_t i = 0; i < count; ++i) {
         if (name != names[i]) continue;
         twice_ = twice_ || !values_[i].empty();
--- a/src/front/fields.hpp
+++ b/src/front/fields.hpp
@@ -24,7 +24,8 @@
 
 class Fields {
 public:
-    void set(std::string_view name, std::string_view value);  // lower case, with dashes; others are passed over
+    void set(std::string_view name,
+             std::string_view value);  // lower case, with dashes; others are passed over
     // False: `wrong` names what is malformed or missing. Without a supply nothing may be missing.
     bool fill(core::Arrival& to, Supply* supply, core::Time now, const char*& wrong) const;
 
--- a/src/front/http/session.cpp
+++ b/src/front/http/session.cpp
@@ -32,7 +32,14 @@
     static http_parser_settings make() {
         http_parser_settings s;
         http_parser_settings_init(&s);
-        s.on_url = [](http_parser* p, const char* at, std::size_t n) { return head(self(p), self(p).url_, at, n); };
+        // Not before its first letter: a stray line end after a request begins no other.
+        s.on_message_begin = [](http_parser* p) {
+            self(p).begun_ = true;
+            return 0;
+        };
+        s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+            return head(self(p), self(p).url_, at, n);
+        };
         s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
             HttpSession& me = self(p);
             if (me.in_value_) me.field_done();
@@ -107,7 +114,6 @@
 
 std::size_t HttpSession::parse(std::string_view bytes) {
     static const http_parser_settings hooks = Hooks::make();
-    begun_ = true;
     const std::size_t used = http_parser_execute(&parser_, &hooks, bytes.data(), bytes.size());
     if (whole_) {
         whole();
@@ -134,14 +140,15 @@
     const std::string path = url_.substr(0, query);
     if (path == "/healthz") {
         if (!get) return refuse(405, "Method Not Allowed", !keep);
-        const std::string rest = query == std::string::npos ? std::string() : '&' + url_.substr(query + 1) + '&';
+        const std::string rest =
+            query == std::string::npos ? std::string() : '&' + url_.substr(query + 1) + '&';
         const bool deep = rest.find("&probe=1&") != std::string::npos;
         reset();
         return check(deep);
     }
     core::Arrival arrival;
     const std::string word = path.substr(path.rfind('/') + 1);
-    arrival.kind = path.find('/') == 0 ? front_.server().kind_of(word) : curlewreel::unknown;
+    arrival.kind = front_.server().kind_of(word);
     if (arrival.kind == curlewreel::unknown) return refuse(404, "Not Found", !keep);
     if (!post) return refuse(405, "Method Not Allowed", !keep);
     const char* wrong = nullptr;
@@ -165,8 +172,10 @@
             if (a.last) more += "No-Other-Server: 1\r\n";
             return message("503 Service Unavailable", more, {}, close);
         }
-        case core::Verdict::out_of_time: return message("504 Gateway Timeout", {}, {}, close);
-        case core::Verdict::failed: break;
+        case core::Verdict::out_of_time:
+            return message("504 Gateway Timeout", {}, {}, close);
+        case core::Verdict::failed:
+            break;
     }
     return message("500 Internal Server Error", {}, {}, close);
 }
--- a/src/front/scgi/session.cpp
+++ b/src/front/scgi/session.cpp
@@ -24,10 +24,17 @@
 std::size_t ScgiSession::parse(std::string_view bytes) {
     buffer_.append(bytes);
     switch (read()) {
-        case Got::more: break;
-        case Got::whole: hand_over(); break;
-        case Got::bad: refuse("400 Bad Request", "malformed header"); break;
-        case Got::large: refuse("413 Payload Too Large", "oversized body"); break;
+        case Got::more:
+            break;
+        case Got::whole:
+            hand_over();
+            break;
+        case Got::bad:
+            refuse("400 Bad Request", "malformed header");
+            break;
+        case Got::large:
+            refuse("413 Payload Too Large", "oversized body");
+            break;
     }
     return bytes.size();
 }
@@ -68,7 +75,8 @@
         block.remove_prefix(stop + 1);
         if (!seen.insert(name).second) return false;
         if (name == "CONTENT_LENGTH") {
-            const auto [last, error] = std::from_chars(value.data(), value.data() + value.size(), body_length_);
+            const auto [last, error] =
+                std::from_chars(value.data(), value.data() + value.size(), body_length_);
             if (value.empty() || error != std::errc() || last != value.data() + value.size()) return false;
         } else if (name == "SCGI") {
             if (value != "1") return false;
@@ -108,7 +116,8 @@
     const bool safe = front_.server().settings().classes[arrival.kind].effect == curlewreel::Effect::safe;
     if (method_ != "POST" && !(safe && method_ == "GET")) return refuse("405 Method Not Allowed", "method");
     const char* wrong = "";
-    if (!fields_.fill(arrival, &supply_, front_.server().now(), wrong)) return refuse("400 Bad Request", wrong);
+    if (!fields_.fill(arrival, &supply_, front_.server().now(), wrong))
+        return refuse("400 Bad Request", wrong);
     arrival.body = buffer_.substr(body_at_, body_length_);
     std::string().swap(buffer_);
     submit(std::move(arrival));
@@ -116,7 +125,8 @@
 
 std::string ScgiSession::format(const core::Answer& a, bool) {
     switch (a.verdict) {
-        case core::Verdict::served: return message("200 OK", {}, a.body);
+        case core::Verdict::served:
+            return message("200 OK", {}, a.body);
         case core::Verdict::refused: {
             // Retry-After counts whole seconds; the platform's own fields go with it for clients that know them.
             const auto ms = (a.hold_off.count() + 999) / 1000;
@@ -126,8 +136,10 @@
             if (a.last) more += "No-Other-Server: 1\r\n";
             return message("503 Service Unavailable", more, {});
         }
-        case core::Verdict::out_of_time: return message("504 Gateway Timeout", {}, {});
-        case core::Verdict::failed: break;
+        case core::Verdict::out_of_time:
+            return message("504 Gateway Timeout", {}, {});
+        case core::Verdict::failed:
+            break;
     }
     return message("502 Bad Gateway", {}, {});
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,9 +25,7 @@
     const std::string source = config::read_file(path);
     try {
         return config::node_from_json(source);
-    } catch (const config::Invalid& e) {
-        throw config::Invalid(path + ": " + e.what());
-    }
+    } catch (const config::Invalid& e) { throw config::Invalid(path + ": " + e.what()); }
 }
 
 int serve(const std::string& path) {
@@ -78,12 +76,14 @@
     try {
         cxxopts::Options options("cressledge", "Map server of Sentiers du Sahel Cartographie");
         options.positional_help("[serve|check|version] [FILE...]");
-        options.add_options()("command", "serve: the default; check: read files and say what is wrong; version",
+        options.add_options()("command",
+                              "serve: the default; check: read files and say what is wrong; version",
                               cxxopts::value<std::string>()->default_value("serve"))(
             "files", "the files to check", cxxopts::value<std::vector<std::string>>()->default_value(""))(
-            "c,config", "serve: the node's configuration instead of $NODE_CONFIG", cxxopts::value<std::string>())(
-            "o,operator", "serve: an operator's file, for SCGI and an inventory", cxxopts::value<std::string>())(
-            "h,help", "print this");
+            "c,config", "serve: the node's configuration instead of $NODE_CONFIG",
+            cxxopts::value<std::string>())("o,operator",
+                                           "serve: an operator's file, for SCGI and an inventory",
+                                           cxxopts::value<std::string>())("h,help", "print this");
         options.parse_positional({"command", "files"});
         const auto given = options.parse(argc, argv);
         if (given.count("help") != 0) {
@@ -101,7 +101,8 @@
         }
         if (command != "serve") throw config::Invalid("no such command: " + command);
         if (given.count("operator") != 0) {
-            if (given.count("config") != 0) throw config::Invalid("serve: --config and --operator exclude each other");
+            if (given.count("config") != 0)
+                throw config::Invalid("serve: --config and --operator exclude each other");
             return serve_operator(given["operator"].as<std::string>());
         }
         const char* env = std::getenv("NODE_CONFIG");
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -29,15 +29,15 @@
     uv_tcp_init(loop, &s->tcp_);
     s->tcp_.data = s;
     s->connect_.data = s;
-    const int bad = uv_tcp_connect(
-        &s->connect_, &s->tcp_, reinterpret_cast<const sockaddr*>(&address.raw), [](uv_connect_t* c, int status) {
-            auto* self = static_cast<Stream*>(c->data);
-            if (self->closing_) return;
-            if (status != 0) return self->end(true);
-            self->open_ = true;
-            self->start();
-            if (self->owner_ != nullptr) self->owner_->on_open();
-        });
+    const int bad = uv_tcp_connect(&s->connect_, &s->tcp_, reinterpret_cast<const sockaddr*>(&address.raw),
+                                   [](uv_connect_t* c, int status) {
+                                       auto* self = static_cast<Stream*>(c->data);
+                                       if (self->closing_) return;
+                                       if (status != 0) return self->end(true);
+                                       self->open_ = true;
+                                       self->start();
+                                       if (self->owner_ != nullptr) self->owner_->on_open();
+                                   });
     if (bad != 0) {  // no descriptor left, for one
         s->close();
         return nullptr;
@@ -93,7 +93,8 @@
     if (closing_ || finishing_ || !open_) return false;
     auto* stream = reinterpret_cast<uv_stream_t*>(&tcp_);
     if (unwritten_ == 0) {
-        const uv_buf_t now = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+        const uv_buf_t now =
+            uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int n = uv_try_write(stream, &now, 1);
         if (n > 0) bytes.remove_prefix(static_cast<std::size_t>(n));
         if (n < 0 && n != UV_EAGAIN) return true;  // broken: the reading side tells, in its turn
@@ -176,7 +177,8 @@
 int Listener::port() const {
     sockaddr_storage name{};
     int length = sizeof name;
-    if (tcp_ == nullptr || uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&name), &length) != 0) return 0;
+    if (tcp_ == nullptr || uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&name), &length) != 0)
+        return 0;
     return ntohs(name.ss_family == AF_INET6 ? reinterpret_cast<sockaddr_in6*>(&name)->sin6_port
                                             : reinterpret_cast<sockaddr_in*>(&name)->sin_port);
 }
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -10,7 +10,8 @@
 
 }  // namespace
 
-Directory::Directory(net::Loop& loop, core::Deadlines& deadlines, const net::Address& address, std::string name)
+Directory::Directory(net::Loop& loop, core::Deadlines& deadlines, const net::Address& address,
+                     std::string name)
     : Link(loop, deadlines, address), name_(std::move(name)) {}
 Directory::~Directory() { deadlines_.cancel(next_); }
 
@@ -44,7 +45,8 @@
     }
     const std::string body = std::string("{\"mode\":\"") + (open_ ? "open" : "closed") + "\"}";
     std::string out = "PUT /dir/nodes/" + name_ + " HTTP/1.1\r\nHost: directory\r\n";
-    out += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    out += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     whole_ = stale_ = false;
--- a/src/platform/engine.hpp
+++ b/src/platform/engine.hpp
@@ -15,7 +15,10 @@
 public:
     Engine(net::Loop& loop, core::Deadlines& deadlines, const net::Address& address, core::Server& server,
            std::vector<std::string> gauges);
-    void connect() { dial(); }
+    void connect() {
+        dial();
+        if (stream_ == nullptr) dial_again();
+    }
 
     void run(const core::Work& work) override;
     void halt(core::RequestNo no) override;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -18,12 +18,14 @@
 }  // namespace
 
 Node::Node(net::Loop& loop, core::Deadlines& deadlines, const config::Node& c)
-    : loop_(loop), server_(c.settings, curlewreel::make_controller(c.settings, c.seed), loop, deadlines), doors_(loop, deadlines, server_, c.stop),
+    : loop_(loop), server_(c.settings, curlewreel::make_controller(c.settings, c.seed), loop, deadlines),
+      doors_(loop, deadlines, server_, c.stop),
       engine_(loop, deadlines, address("engine", c.engine), server_, c.gauges),
       records_(loop, deadlines, address("records", c.records), server_),
       directory_(loop, deadlines, address("lookup", c.lookup), c.name) {
     front::Front::Limits limits;
-    limits.connections = c.sockets * 3 / 4;  // callers use half; the rest is for our own links and closing ones
+    limits.connections =
+        c.sockets * 3 / 4;  // callers use half; the rest is for our own links and closing ones
     doors_.add(std::make_unique<front::Front>(
         loop, deadlines, server_, address("listen", c.listen), limits,
         [](front::Front& f) { return std::make_unique<front::http::HttpSession>(f); }));
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -38,6 +38,7 @@
 
 // Its outcome is told on the next turn: the Controller's actions come first, in their order.
 void RecordsClient::fail(core::RequestNo no, Outcome outcome) {
+    if (const auto it = ops_.find(no); it != ops_.end()) it->second.sent = true;  // no link takes it up again
     deadlines_.at(core::Time(0), [this, no, outcome] {
         const auto it = ops_.find(no);
         if (it == ops_.end()) return;
@@ -103,11 +104,12 @@
         if (found == names_.end()) continue;  // given up meanwhile
         const core::RequestNo no = found->second;
         const std::string_view how = words[1];
-        const Outcome outcome = how == "DONE"    ? Outcome::ok
-                                : how == "WAIT"  ? Outcome::full
-                                : how == "EMPTY" ? Outcome::full  // the call never ran, as little as with WAIT
-                                : how == "PAST"  ? Outcome::timeout
-                                                 : Outcome::error;
+        const Outcome outcome = how == "DONE"   ? Outcome::ok
+                                : how == "WAIT" ? Outcome::full
+                                : how == "EMPTY"
+                                    ? Outcome::full  // the call never ran, as little as with WAIT
+                                : how == "PAST" ? Outcome::timeout
+                                                : Outcome::error;
         const std::string reply(body);
         ops_.erase(no);
         names_.erase(found);
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -77,7 +77,9 @@
     std::vector<std::shared_ptr<Target>> fresh;
     for (const config::Upstream& s : servers) {
         // A server that stays keeps its count of calls: guards against crowding it after each reload.
-        const auto same = [&s](const auto& t) { return t->server.name == s.name && t->server.address == s.address; };
+        const auto same = [&s](const auto& t) {
+            return t->server.name == s.name && t->server.address == s.address;
+        };
         const auto known = std::find_if(targets_.begin(), targets_.end(), same);
         auto target = known != targets_.end() ? *known : std::make_shared<Target>();
         target->server = s;
@@ -140,7 +142,8 @@
 }
 bool Upstream::test(std::uint64_t tag) {
     const core::Time now = clock_.unix_now();
-    server_.tested(tag, std::any_of(targets_.begin(), targets_.end(), [now](const auto& t) { return t->shun <= now; }));
+    server_.tested(
+        tag, std::any_of(targets_.begin(), targets_.end(), [now](const auto& t) { return t->shun <= now; }));
     return true;
 }
 
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -13,14 +13,17 @@
     std::vector<config::Upstream> all = config::load_inventory(o.inventory);
     std::erase_if(all, [&o](const auto& u) { return !o.group.empty() && u.group != o.group; });
     if (all.empty())
-        throw config::Invalid(o.inventory + ": " + (o.group.empty() ? "no servers" : "no server in group " + o.group));
+        throw config::Invalid(o.inventory + ": " +
+                              (o.group.empty() ? "no servers" : "no server in group " + o.group));
     return all;
 }
 
 Gateway::Gateway(net::Loop& loop, core::Deadlines& deadlines, core::Clock& clock, const config::Operator& c,
                  std::uint64_t seed)
-    : config_(c), loop_(loop), server_(c.settings, curlewreel::make_controller(c.settings, seed), clock, deadlines), supply_(seed, c.request_kb),
-      doors_(loop, deadlines, server_, c.stop), upstream_(loop, deadlines, server_, clock) {
+    : config_(c), loop_(loop),
+      server_(c.settings, curlewreel::make_controller(c.settings, seed), clock, deadlines),
+      supply_(seed, c.request_kb), doors_(loop, deadlines, server_, c.stop),
+      upstream_(loop, deadlines, server_, clock) {
     upstream_.use(servers_of(c));
     server_.attach(upstream_, records_, *this);
     front::Front::Limits limits;
--- a/src/upstream/wire.cpp
+++ b/src/upstream/wire.cpp
@@ -79,7 +79,9 @@
             reply.body.append(bytes);
         }
         if (!known_) return Got::more;  // to the end of the connection
-        return reply.body.size() > length_ ? Got::broken : reply.body.size() == length_ ? Got::whole : Got::more;
+        return reply.body.size() > length_    ? Got::broken
+               : reply.body.size() == length_ ? Got::whole
+                                              : Got::more;
     }
     Got end() override { return reply.status != 0 && !known_ ? Got::whole : Got::broken; }
 
@@ -101,7 +103,8 @@
                 if (bad != std::errc() || status < 100 || status > 999) return false;
             } else if (same(name, "content-length")) {
                 const auto [stop, bad] = std::from_chars(line.data(), line.data() + line.size(), length_);
-                if (bad != std::errc() || stop != line.data() + line.size() || length_ > most_body) return false;
+                if (bad != std::errc() || stop != line.data() + line.size() || length_ > most_body)
+                    return false;
                 known_ = true;
             }
         }
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -75,9 +75,7 @@
     info.Accept(out);
     try {
         return cressledge::config::settings_from_json({text.GetString(), text.GetSize()});
-    } catch (const cressledge::config::Invalid& e) {
-        throw Malformed(e.what());
-    }
+    } catch (const cressledge::config::Invalid& e) { throw Malformed(e.what()); }
 }
 
 std::uint32_t label(const std::string& word) {
--- a/tests/cressledge/config_test.cpp
+++ b/tests/cressledge/config_test.cpp
@@ -20,8 +20,9 @@
 
 TEST_CASE("a CSV inventory, columns in any order") {
     Folder f;
-    const auto all = config::load_inventory(
-        f.write("i.csv", "group,name,address,protocol,rack\r\nold,a,127.0.0.1:9001,scgi,1\r\n\r\nnew,\"b,2\",[::1]:9,http,2"));
+    const auto all = config::load_inventory(f.write(
+        "i.csv",
+        "group,name,address,protocol,rack\r\nold,a,127.0.0.1:9001,scgi,1\r\n\r\nnew,\"b,2\",[::1]:9,http,2"));
     REQUIRE(all.size() == 2);
     CHECK(all[0].group == "old");
     CHECK(all[1].name == "b,2");
@@ -75,7 +76,8 @@
     const auto of = [&](const std::string& text) {
         return complaint([&] { config::load_inventory(f.write("i.yaml", text)); });
     };
-    CHECK(of("all:\n  hosts:\n    a: {address: \"127.0.0.1:1\"}\n") == "i.yaml:3: protocol: neither http nor scgi: ");
+    CHECK(of("all:\n  hosts:\n    a: {address: \"127.0.0.1:1\"}\n") ==
+          "i.yaml:3: protocol: neither http nor scgi: ");
     CHECK(of("all:\n  hosts:\n    a: {protocol: http}\n") == "i.yaml:3: address: missing for a");
     CHECK(of("all:\n  host:\n") == "i.yaml:2: host: none of hosts, vars and children");
     CHECK(of("all:\n  vars: {protocol: http}\n  hosts:\n    a: {address: \"127.0.0.1:1\"}\n"
--- a/tests/cressledge/core_test.cpp
+++ b/tests/cressledge/core_test.cpp
@@ -1,13 +1,12 @@
 // The core without a wire: a scripted controller, executor and records client, and a clock set by hand.
 #include "core/server.hpp"
-
 #include "support.hpp"
 
 namespace {
 
 using namespace story;
-using curlewreel::Action, curlewreel::Event, curlewreel::Outcome;
 using core::End, core::Verdict;
+using curlewreel::Action, curlewreel::Event, curlewreel::Outcome;
 
 struct Script final : curlewreel::Controller {
     std::vector<Event> seen;
@@ -89,7 +88,8 @@
     }
     void act(std::vector<Action> actions) {  // lets the controller do this, on a timer of its own
         on<curlewreel::Request>([](const auto& r) {
-            return std::vector<Action>{curlewreel::Refuse{r.id, Span(0), false}, curlewreel::Wake{Span(0), 9}};
+            return std::vector<Action>{curlewreel::Refuse{r.id, Span(0), false},
+                                       curlewreel::Wake{Span(0), 9}};
         });
         arrive();
         answers.pop_back();
@@ -142,16 +142,22 @@
 }
 
 TEST_CASE("a write makes a second call only when the first one provably never ran") {
-    for (const auto& [outcome, calls] : {std::pair{Outcome::full, 2U}, {Outcome::connect_failed, 2U},
-                                        {Outcome::error, 1U}, {Outcome::timeout, 1U}, {Outcome::reset, 1U}}) {
+    for (const auto& [outcome, calls] : {std::pair{Outcome::full, 2U},
+                                         {Outcome::connect_failed, 2U},
+                                         {Outcome::error, 1U},
+                                         {Outcome::timeout, 1U},
+                                         {Outcome::reset, 1U}}) {
         Bench b;
         b.on<curlewreel::Request>([](const auto& r) { return std::vector<Action>{curlewreel::Run{r.id}}; });
         const auto no = b.arrive(2);
-        b.on<curlewreel::Needs>([](const auto& n) { return std::vector<Action>{curlewreel::Call{n.id, Span(0)}}; });
+        b.on<curlewreel::Needs>([](const auto& n) {
+            return std::vector<Action>{curlewreel::Call{n.id, Span(0)}};
+        });
         b.server.needs(no, 1, "pay");
         int asked = 0;
         b.on<curlewreel::Called>([&](const auto& k) {
-            return ++asked == 1 ? std::vector<Action>{curlewreel::Call{k.id, Span(0)}} : std::vector<Action>();
+            return ++asked == 1 ? std::vector<Action>{curlewreel::Call{k.id, Span(0)}}
+                                : std::vector<Action>();
         });
         b.server.called(no, outcome, {});
         CHECK(b.times("call pay") == calls);
@@ -162,8 +168,9 @@
     Bench b;
     b.on<curlewreel::Request>([](const auto& r) { return std::vector<Action>{curlewreel::Run{r.id}}; });
     const auto no = b.arrive();
-    b.on<curlewreel::Needs>(
-        [](const auto& n) { return std::vector<Action>{curlewreel::Call{n.id, Span(50'000)}}; });
+    b.on<curlewreel::Needs>([](const auto& n) {
+        return std::vector<Action>{curlewreel::Call{n.id, Span(50'000)}};
+    });
     b.server.needs(no, 1, "q");
     b.advance(Span(49'000));
     CHECK(b.times("abandon") == 0);
@@ -203,7 +210,8 @@
 TEST_CASE("each wake gets one timer, never early, without gauges if the executor is silent") {
     Bench b;
     b.on<curlewreel::Request>([](const auto& r) {
-        return std::vector<Action>{curlewreel::Refuse{r.id, Span(0), false}, curlewreel::Wake{Span(10'000), 7}};
+        return std::vector<Action>{curlewreel::Refuse{r.id, Span(0), false},
+                                   curlewreel::Wake{Span(10'000), 7}};
     });
     b.arrive();
     b.advance(Span(9'999));
--- a/tests/cressledge/friday_test.cpp
+++ b/tests/cressledge/friday_test.cpp
@@ -134,14 +134,16 @@
     }
     void rest() {  // until nothing is on its way between client, core and stand-in
         const auto& n = gateway->server().counts();
-        w.until([&] {
-            deadlines.run(clock.now);
-            server.look();
-            take_answers();
-            const bool due = deadlines.next() && *deadlines.next() <= clock.now;
-            return !due && answers == n.served + n.refused + n.failed && left == n.gone &&
-                   server.received == n.runs && server.open() == n.runs - n.ends;
-        }, false);
+        w.until(
+            [&] {
+                deadlines.run(clock.now);
+                server.look();
+                take_answers();
+                const bool due = deadlines.next() && *deadlines.next() <= clock.now;
+                return !due && answers == n.served + n.refused + n.failed && left == n.gone &&
+                       server.received == n.runs && server.open() == n.runs - n.ends;
+            },
+            false);
     }
     void take_answers() {
         for (Client& c : clients) {
@@ -174,7 +176,12 @@
         const std::string path = std::string("/v1/") + kinds[a.kind], length = std::to_string(c.body.size());
         if (scgi) {
             std::string head("CONTENT_LENGTH\0", 15);
-            head += length + std::string("\0SCGI\0" "1\0REQUEST_METHOD\0POST\0REQUEST_URI\0", 40) + path + '\0';
+            head += length +
+                    std::string(
+                        "\0SCGI\0"
+                        "1\0REQUEST_METHOD\0POST\0REQUEST_URI\0",
+                        40) +
+                    path + '\0';
             c.peer->send(std::to_string(head.size()) + ':' + head + ',' + c.body);
         } else {
             c.peer->send("POST " + path + " HTTP/1.1\r\nContent-Length: " + length + "\r\n\r\n" + c.body);
--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -1,6 +1,5 @@
 // Stories of one server on the platform: callers, engine, records service and directory are scripted peers.
 #include "platform/node.hpp"
-
 #include "support.hpp"
 
 namespace {
@@ -60,8 +59,10 @@
     std::string ask(Peer& caller, const std::string& kind, const std::string& body) {
         caller.send(request(kind, body));
         const std::string name = id(tries);
-        w.until([&] { return engine.has("RUN " + name + ' ' + kind + ' ' + std::to_string(body.size()) +
-                                        "\r\n" + body + "\r\n"); });
+        w.until([&] {
+            return engine.has("RUN " + name + ' ' + kind + ' ' + std::to_string(body.size()) + "\r\n" + body +
+                              "\r\n");
+        });
         return name;
     }
     void get(Peer& p, const std::string& part) {
@@ -124,6 +125,7 @@
     CHECK(answer(s.request("trail-sheet", std::string(2049, 'x')).substr(0, 260)) == "413");
     CHECK(answer("POST /v1/trail-sheet HTTP/1.1\r\nX: " + std::string(9000, 'x')) == "400");
     CHECK(answer("GET /v1/trail-sheet HTTP/1.1\r\n\r\n") == "405");
+    CHECK(answer("\r\nGET /healthz HTTP/1.1\r\n\r\n") == "200");
     auto c = s.caller();
     s.ask(*c, "trail-sheet", "still here");
 }
@@ -175,7 +177,8 @@
     CHECK(s.records.peers.size() == 1);
 }
 
-TEST_CASE("the notice to leave: the directory hears of it, all that was read is answered, and the loop ends") {
+TEST_CASE(
+    "the notice to leave: the directory hears of it, all that was read is answered, and the loop ends") {
     Site s(settings(), Span(900'000));
     s.w.until([&] { return s.lookup.has("{\"mode\":\"open\"}"); });
     CHECK(s.lookup.last().got.rfind("PUT /dir/nodes/n3 HTTP/1.1\r\n", 0) == 0);
--- a/tests/cressledge/scgi_test.cpp
+++ b/tests/cressledge/scgi_test.cpp
@@ -22,12 +22,16 @@
         gateway = std::make_unique<upstream::Gateway>(w.loop, w.deadlines, w.loop, o, 7);
     }
     std::string inventory(const std::string& protocol) {
-        return folder.write("servers.csv", "name,address,protocol,group\nup," + server.address() + "," + protocol +
-                                               ",maps\n");
+        return folder.write("servers.csv", "name,address,protocol,group\nup," + server.address() + "," +
+                                               protocol + ",maps\n");
     }
     static std::string scgi(const std::string& path, const std::string& body, const std::string& more = "") {
         std::string head("CONTENT_LENGTH\0", 15);
-        head += std::to_string(body.size()) + '\0' + std::string("SCGI\0" "1\0", 7);
+        head += std::to_string(body.size()) + '\0' +
+                std::string(
+                    "SCGI\0"
+                    "1\0",
+                    7);
         head += std::string("REQUEST_METHOD\0POST\0REQUEST_URI\0", 32) + path + '\0' + more;
         return std::to_string(head.size()) + ':' + head + ',' + body;
     }
@@ -76,12 +80,24 @@
     Office o;
     auto stalled = o.ask("70:CONTENT_LENGTH");  // says no more, and is not waited for
     const std::string good = Office::scgi("/trail-sheet", "");
-    for (const std::string& bad :
-         {std::string("x"), std::string(":"), std::string("012:"), std::string("9000:"), std::string("24:SCGI"),
-          std::string("24:CONTENT_LENGTH\0" "0\0SCGI\0" "1\0;", 28),  // no comma
-          std::string("17:CONTENT_LENGTH\0" "0\0,", 21),  // no SCGI
-          std::string("26:CONTENT_LENGTH\0" "x\0SCGI\0" "1\0a\0,", 30),
-          std::string("38:CONTENT_LENGTH\0" "0\0SCGI\0" "1\0SCGI\0" "1\0a\0b\0\0\0\0,", 45)}) {
+    for (const std::string& bad : {std::string("x"), std::string(":"), std::string("012:"),
+                                   std::string("9000:"), std::string("24:SCGI"),
+                                   std::string("24:CONTENT_LENGTH\0"
+                                               "0\0SCGI\0"
+                                               "1\0;",
+                                               28),  // no comma
+                                   std::string("17:CONTENT_LENGTH\0"
+                                               "0\0,",
+                                               21),  // no SCGI
+                                   std::string("26:CONTENT_LENGTH\0"
+                                               "x\0SCGI\0"
+                                               "1\0a\0,",
+                                               30),
+                                   std::string("38:CONTENT_LENGTH\0"
+                                               "0\0SCGI\0"
+                                               "1\0SCGI\0"
+                                               "1\0a\0b\0\0\0\0,",
+                                               45)}) {
         INFO(bad);
         auto c = o.ask(bad);
         CHECK(o.status(*c) == "Status: 400 Bad Request");
@@ -111,8 +127,8 @@
 
 TEST_CASE("a reset after sending proves nothing: the write fails, and no other server is tried") {
     Office o;
-    o.folder.write("servers.csv", "name,address,protocol,group\nup," + o.server.address() + ",scgi,maps\nspare," +
-                                      o.spare.address() + ",scgi,maps\n");
+    o.folder.write("servers.csv", "name,address,protocol,group\nup," + o.server.address() +
+                                      ",scgi,maps\nspare," + o.spare.address() + ",scgi,maps\n");
     o.gateway->reload();
     auto c = o.ask(Office::scgi("/map-order", "pay"));
     const auto both = [&] { return o.server.peers.size() + o.spare.peers.size(); };
@@ -124,8 +140,8 @@
 
 TEST_CASE("a refused connection proves that nothing ran: the next server is called") {
     Office o;
-    o.folder.write("servers.csv", "name,address,protocol,group\nup," + o.server.address() + ",scgi,maps\nspare," +
-                                      o.spare.address() + ",scgi,maps\n");
+    o.folder.write("servers.csv", "name,address,protocol,group\nup," + o.server.address() +
+                                      ",scgi,maps\nspare," + o.spare.address() + ",scgi,maps\n");
     o.gateway->reload();
     o.server.listener->close();
     for (int i = 0; i < 2; ++i) {  // whichever is first in turn
@@ -142,8 +158,9 @@
 }
 
 TEST_CASE("a server's answer that is cut short or says failure is a failure") {
-    for (const std::string& answer : {std::string("Status: 200 OK\r\nContent-Length: 9\r\n\r\ncut"),
-                                      std::string("Status: 500 No\r\n\r\n"), std::string("nonsense\r\n\r\n")}) {
+    for (const std::string& answer :
+         {std::string("Status: 200 OK\r\nContent-Length: 9\r\n\r\ncut"),
+          std::string("Status: 500 No\r\n\r\n"), std::string("nonsense\r\n\r\n")}) {
         Office o;
         auto c = o.ask(Office::scgi("/route-profile", "x"));
         o.w.until([&] { return o.server.has(",x"); });
@@ -155,9 +172,9 @@
 
 TEST_CASE("out of time is told at once as 504, and a client that goes cancels its call") {
     Office o;
-    auto late = o.ask(Office::scgi("/route-profile", "x",
-                                   std::string("HTTP_ACCEPTED_AT_MS\0", 20) +
-                                       std::to_string(wall().count() / 1000 - 1000) + '\0'));
+    auto late = o.ask(Office::scgi(
+        "/route-profile", "x",
+        std::string("HTTP_ACCEPTED_AT_MS\0", 20) + std::to_string(wall().count() / 1000 - 1000) + '\0'));
     o.w.until([&] { return o.server.has(",x"); });
     auto c = o.ask(Office::scgi("/trail-sheet", "y"));
     o.w.until([&] { return o.server.peers.size() == 2 && o.server.has(",y"); });
@@ -171,13 +188,14 @@
     Office o;
     o.gateway->leave();
     // Accepted before the notice, or within its grace, a write may run; the controller says which.
-    auto c = o.ask(Office::scgi("/map-order", "a", std::string("HTTP_ACCEPTED_AT_MS\0", 20) +
-                                                       std::to_string(wall().count() / 1000 - 11'500) + '\0'));
+    auto c = o.ask(Office::scgi(
+        "/map-order", "a",
+        std::string("HTTP_ACCEPTED_AT_MS\0", 20) + std::to_string(wall().count() / 1000 - 11'500) + '\0'));
     CHECK(o.status(*c) == "Status: 503 Service Unavailable");
     CHECK(c->has("\r\nRetry-After: 1\r\n"));
     auto h = dial(o.w, o.gateway->http_port());
-    h->send("POST /v1/map-order HTTP/1.1\r\nAccepted-At-Ms: " + std::to_string(wall().count() / 1000 - 11'500) +
-            "\r\nContent-Length: 1\r\n\r\na");
+    h->send("POST /v1/map-order HTTP/1.1\r\nAccepted-At-Ms: " +
+            std::to_string(wall().count() / 1000 - 11'500) + "\r\nContent-Length: 1\r\n\r\na");
     o.w.until([&] { return h->has("\r\n\r\n"); });
     CHECK(h->got.rfind("HTTP/1.1 503 ", 0) == 0);
     CHECK(o.server.peers.empty());
--- a/tests/cressledge/support.hpp
+++ b/tests/cressledge/support.hpp
@@ -123,7 +123,8 @@
     s.drain_grace = Span(2'000'000);
     s.max_retry_after = Span(1'000'000);
     s.stop = curlewreel::Stop::discard;
-    const auto add = [&](const char* name, curlewreel::Effect effect, double worth, int target, int deadline) {
+    const auto add = [&](const char* name, curlewreel::Effect effect, double worth, int target,
+                         int deadline) {
         curlewreel::Class c;
         c.name = name;
         c.effect = effect;
