--- a/src/config/node.cpp
+++ b/src/config/node.cpp
@@ -49,4 +49,11 @@
     return n;
 }
 
+Node load_node(const std::string& path) {
+    const std::string source = read_file(path);
+    try {
+        return node_from_json(source);
+    } catch (const Invalid& e) { throw Invalid(path + ": " + e.what()); }
+}
+
 }  // namespace cressledge::config
--- a/src/config/node.hpp
+++ b/src/config/node.hpp
@@ -20,5 +20,6 @@
 
 std::string read_file(const std::string& path);  // throws Invalid
 Node node_from_json(const std::string& source);
+Node load_node(const std::string& path);  // names the file in what it throws
 
 }  // namespace cressledge::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,9 +3,11 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 #include <random>
 
 #include "config/inventory.hpp"
@@ -21,19 +23,14 @@
 
 namespace config = cressledge::config;
 
-config::Node node_config(const std::string& path) {
-    const std::string source = config::read_file(path);
-    try {
-        return config::node_from_json(source);
-    } catch (const config::Invalid& e) { throw config::Invalid(path + ": " + e.what()); }
-}
-
 int serve(const std::string& path) {
-    const config::Node settings = node_config(path);
     cressledge::core::Deadlines deadlines;
     cressledge::net::Loop loop(deadlines);
-    cressledge::platform::Node node(loop, deadlines, settings);
-    node.start();
+    std::optional<cressledge::platform::Node> node;
+    // Taken before the file is read: a signal that comes meanwhile has it read once more, and ends nothing.
+    loop.on_signal(SIGHUP, [&] { node->reload(path); });
+    node.emplace(loop, deadlines, config::load_node(path));
+    node->start();
     loop.run();
     return 0;
 }
@@ -54,7 +51,7 @@
     for (const std::string& path : files) {
         const std::string ending = path.substr(std::min(path.rfind('.'), path.size()));
         if (ending == ".json") {
-            const config::Node n = node_config(path);
+            const config::Node n = config::load_node(path);
             std::cout << path << ": configuration of node " << n.name << ", " << n.settings.classes.size()
                       << " classes\n";
         } else if (ending == ".csv" || config::is_inventory(path)) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include <cstddef>
+#include <cstring>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 struct Address {
     sockaddr_storage raw{};
     static std::optional<Address> parse(const std::string& text);  // 127.0.0.1:80 or [::1]:80, numbers only
+    bool operator==(const Address& other) const { return std::memcmp(&raw, &other.raw, sizeof raw) == 0; }
 };
 
 class Stream {
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -24,6 +24,14 @@
     send();
 }
 
+void Directory::move(const net::Address& address) {
+    if (address == address_) return;
+    address_ = address;
+    hang_up();
+    up_ = asked_ = false;
+    send();
+}
+
 void Directory::next(core::Time when) {
     deadlines_.cancel(next_);
     next_ = deadlines_.at(when, [this] {
--- a/src/platform/directory.hpp
+++ b/src/platform/directory.hpp
@@ -14,6 +14,7 @@
     Directory(net::Loop& loop, core::Deadlines& deadlines, const net::Address& address, std::string name);
     ~Directory() override;
     void report(bool open);  // now, and from then on
+    void move(const net::Address& address);
 
     void on_open() override;
     void on_bytes(std::string_view bytes) override;
--- a/src/platform/engine.cpp
+++ b/src/platform/engine.cpp
@@ -87,6 +87,15 @@
 
 // ---- the link ----
 
+void Engine::move(const net::Address& address) {
+    if (address == address_) return;
+    address_ = address;
+    in_step_ = false;
+    hang_up();  // a dial that is open as well
+    settled();
+    connect();
+}
+
 void Engine::on_open() {
     lines_.clear();
     in_step_ = false;
--- a/src/platform/engine.hpp
+++ b/src/platform/engine.hpp
@@ -20,6 +20,9 @@
         if (stream_ == nullptr) dial_again();
     }
 
+    // The link goes there at once, and takes up after the last notice read: nothing is lost or told twice.
+    void move(const net::Address& address);
+
     void run(const core::Work& work) override;
     void halt(core::RequestNo no) override;
     void resume(core::RequestNo no) override;
--- a/src/platform/link.hpp
+++ b/src/platform/link.hpp
@@ -1,4 +1,4 @@
-// A stream to one fixed address that is dialled again for as long as it is wanted.
+// A stream to one address that is dialled again for as long as it is wanted.
 #pragma once
 
 #include <algorithm>
@@ -37,6 +37,7 @@
             if (stream_ == nullptr) dial_again();
         });
     }
+    // Guards against a pause that outlasts its cause.
     void settled() { pause_ = core::Span(0); }
     void hang_up() {
         if (stream_ != nullptr) std::exchange(stream_, nullptr)->close();
@@ -44,7 +45,7 @@
 
     net::Loop& loop_;
     core::Deadlines& deadlines_;
-    const net::Address address_;
+    net::Address address_;
     net::Stream* stream_ = nullptr;
 
 private:
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
 
 #include "front/http/session.hpp"
@@ -18,10 +19,12 @@
 }  // namespace
 
 Node::Node(net::Loop& loop, core::Deadlines& deadlines, const config::Node& c)
-    : loop_(loop), server_(c.settings, curlewreel::make_controller(c.settings, c.seed), loop, deadlines),
+    : config_(c), loop_(loop),
+      server_(c.settings, curlewreel::make_controller(c.settings, c.seed), loop, deadlines),
       doors_(loop, deadlines, server_, c.stop),
       engine_(loop, deadlines, address("engine", c.engine), server_, c.gauges),
-      records_(loop, deadlines, address("records", c.records), server_),
+      records_(loop, deadlines, address("records", c.records), std::max<std::size_t>(2, c.sockets / 8),
+               server_),
       directory_(loop, deadlines, address("lookup", c.lookup), c.name) {
     front::Front::Limits limits;
     limits.connections =
@@ -40,6 +43,24 @@
     spdlog::info("serving");
 }
 
+void Node::reload(const std::string& path) {
+    try {
+        const config::Node c = config::load_node(path);
+        if (c.name != config_.name || c.listen != config_.listen)
+            throw config::Invalid(path + ": name and listen change with a restart only");
+        // All are read before the first is used: guards against half a configuration in force.
+        const net::Address engine = address("engine", c.engine), records = address("records", c.records),
+                           lookup = address("lookup", c.lookup);
+        spdlog::info("configuration: in force: engine {}, records {}, lookup {}", c.engine, c.records,
+                     c.lookup);
+        engine_.move(engine);
+        records_.move(records);
+        directory_.move(lookup);
+    } catch (const std::exception& e) {
+        spdlog::error("configuration: the old one stays in force: {}", e.what());
+    }
+}
+
 void Node::leave() {
     doors_.leave();
     directory_.report(false);
--- a/src/platform/node.hpp
+++ b/src/platform/node.hpp
@@ -15,10 +15,12 @@
     Node(net::Loop& loop, core::Deadlines& deadlines, const config::Node& config);
     void start();
     void leave();  // the notice to leave
+    void reload(const std::string& path);  // new addresses of the peers; a bad file leaves all as it is
     void idle_limit(core::Span limit) override { doors_.idle_limit(limit); }
     int port() { return doors_.last().port(); }
 
 private:
+    const config::Node config_;  // as at the start
     net::Loop& loop_;
     core::Server server_;
     front::Doors doors_;
