Let silent and resting connections make room, and refuse bodies whose end is in doubt

Checked: front.cpp, Front::take stopped accepting at the cap, so whoever asked once and stayed kept its place for good, and connections that never asked had none of their deadlines running (rest() has none while the module sets no idle limit, `whole` was 10 s from the first byte). Changed: whole by an absolute deadline of 2.5 s from the accept on both fronts, eviction at the cap, never of a request in hand; the core refuses a taken id; log lines that a peer can cause at will are written once a second.

--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -105,7 +105,7 @@
     if (o.inventory.front() != '/') o.inventory.insert(0, path.substr(0, path.rfind('/') + 1));
     o.group = r.text(doc, "group", "");
     o.stop = r.span(doc, "stop_ms", 200.0, 3000.0);
-    o.whole = r.span(doc, "header_ms", 1.0, 5000.0);
+    o.whole = r.span(doc, "header_ms", 1.0, 2500.0);
     o.connections = static_cast<std::size_t>(r.number(doc, "connections", 1.0, 10'000.0, 256.0));
     o.request_kb = r.number(doc, "request_kb", 0.001, 1999.0, 24.0);
     curlewreel::Settings& s = o.settings;
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -65,11 +65,21 @@
     ++counts_.read;
     if (entries_.size() >= most_entries || !started_) {
         // Guards the memory limit against more requests than any budget of the Controller's would hold.
-        spdlog::warn("refused unseen: {}", started_ ? "the table of requests is full" : "engine not up yet");
+        std::uint64_t passed = 0;
+        if (unseen_.may(clock_.unix_now(), passed))
+            spdlog::warn("refused unseen: {}; {} more like it",
+                         started_ ? "the table of requests is full" : "engine not up yet", passed);
         ++counts_.refused;
         responder.answer(ticket, Answer{Verdict::refused, {}, settings_.max_retry_after, false});
         return 0;
     }
+    if (names_.count(arrival.name) != 0) {
+        // Guards a request against another under its id: engine and records service know them by it, and the
+        // outcome of one would go to the other.
+        ++counts_.failed;
+        responder.answer(ticket, Answer{Verdict::malformed, {}, Span(0), false});
+        return 0;
+    }
     const Time at = now();
     auto entry = std::make_unique<Entry>();
     entry->arrival = std::move(arrival);
@@ -90,7 +100,9 @@
     r.rank = entry->arrival.rank;
     r.held_kb = entry->arrival.held_kb;
     r.age = at - accepted;
+    const std::string name = entry->arrival.name;
     const RequestNo no = entries_.add(std::move(entry));
+    names_[name] = no;
     r.id = no;
     ++unanswered_;
     post(r);
@@ -219,6 +231,7 @@
     deadlines_.cancel(e->patience);
     if (e->state != State::over) settle_key(*e, no, false, {});
     executor_->release(no);
+    names_.erase(e->arrival.name);
     entries_.erase(no);
 }
 
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/deadlines.hpp"
+#include "core/quiet.hpp"
 #include "core/slots.hpp"
 
 namespace cressledge::core {
@@ -31,7 +32,7 @@
     std::string body;
 };
 
-enum class Verdict { served, refused, failed, out_of_time };
+enum class Verdict { served, refused, failed, out_of_time, malformed };
 struct Answer {
     Verdict verdict = Verdict::failed;
     std::string_view body;  // served: the result, unchanged; valid during the call only
@@ -179,6 +180,7 @@
     Records* records_ = nullptr;
     Surroundings* surroundings_ = nullptr;
     Slots<Entry> entries_;
+    std::unordered_map<std::string, RequestNo> names_;  // of all that have not been let go
     std::unordered_map<std::string, Kept> kept_;
     std::deque<Pending> queue_;
     std::vector<curlewreel::Action> actions_;
@@ -197,6 +199,7 @@
     Time last_{0}, stop_at_{0};
     bool busy_ = false, started_ = false, draining_ = false, good_ = true, stored_ = true;
     Counts counts_;
+    Quiet unseen_;
 };
 
 }  // namespace cressledge::core
--- a/src/front/fields.cpp
+++ b/src/front/fields.cpp
@@ -33,7 +33,8 @@
         "trace-id", "accepted-at-ms", "client-no", "expected-ms", "reserve-kb", "standing", "lookup-key"};
     for (std::size_t i = 0; i < count; ++i) {
         if (name != names[i]) continue;
-        twice_ = twice_ || !values_[i].empty();
+        twice_ = twice_ || given_[i];
+        given_[i] = true;
         values_[i] = std::string(value);
     }
 }
@@ -43,19 +44,19 @@
         wrong = name;
         return false;
     };
-    const auto lacks = [&](Field f) { return supply != nullptr && values_[f].empty(); };
+    const auto lacks = [&](Field f) { return supply != nullptr && !given_[f]; };
     if (twice_) return bad("a field that came twice");
     if (!lacks(id) && !hex16(values_[id])) return bad("Trace-Id");
     std::int64_t ms = 0;
     if (!lacks(stamp) && (!number(values_[stamp], ms) || ms <= 0 || ms > 100'000'000'000'000))
         return bad("Accepted-At-Ms");
-    if (!values_[caller].empty() && !number(values_[caller], a.caller)) return bad("Client-No");
+    if (given_[caller] && !number(values_[caller], a.caller)) return bad("Client-No");
     double hint_ms = 0.0;
-    if (!values_[hint].empty() && !within(values_[hint], 0.0, 1e9, hint_ms)) return bad("Expected-Ms");
+    if (given_[hint] && !within(values_[hint], 0.0, 1e9, hint_ms)) return bad("Expected-Ms");
     if (!lacks(size) && (!within(values_[size], 0.0, 2000.0, a.held_kb) || a.held_kb <= 0.0))
         return bad("Reserve-Kb");
-    if (!values_[rank].empty() && !within(values_[rank], 0.0, 1.0, a.rank)) return bad("Standing");
-    if (!values_[key].empty() && !hex16(values_[key])) return bad("Lookup-Key");
+    if (given_[rank] && !within(values_[rank], 0.0, 1.0, a.rank)) return bad("Standing");
+    if (given_[key] && !hex16(values_[key])) return bad("Lookup-Key");
     a.name = lacks(id) ? supply->id() : values_[id];
     a.accepted = lacks(stamp) ? now : core::Time(ms * 1000);
     if (lacks(size)) a.held_kb = supply->held_kb();
--- a/src/front/fields.hpp
+++ b/src/front/fields.hpp
@@ -32,7 +32,7 @@
 private:
     enum Field { id, stamp, caller, hint, size, rank, key, count };
     std::string values_[count];
-    bool twice_ = false;
+    bool given_[count] = {}, twice_ = false;
 };
 
 }  // namespace cressledge::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -8,14 +8,21 @@
 namespace {
 
 constexpr std::size_t most_later = 16U << 10U;  // of what a peer sends ahead of its turn
+constexpr std::size_t most_dropped = 1U << 20U;  // read out after a last answer, so that it is not reset away
 constexpr core::Span linger{1'000'000};  // for a peer to read a last answer and close
+constexpr core::Span settling{250'000};  // a usual caller's request follows its connection sooner
 
 }  // namespace
 
 // ---- Session ----
 
 void Session::on_bytes(std::string_view bytes) {
-    if (finished_) return;  // a last answer is on its way; what still comes is not read as a request
+    if (finished_) {  // a last answer is on its way; what still comes is not read as a request
+        dropped_ += bytes.size();
+        // Guards the processor against a peer that goes on sending: what has not read its answer now may lose it.
+        if (dropped_ > most_dropped) bury();
+        return;
+    }
     later_.append(bytes);
     if (busy_ && later_.size() > most_later && !paused_) {
         // Guards memory against a peer that sends on and on ahead of its answers.
@@ -40,18 +47,25 @@
         stream_->pause(false);
     }
     if (partial() && !whole_by_) {
-        // Guards the table against peers that begin a request and never end it.
-        front_.deadlines_.cancel(deadline_);
-        whole_by_ = true;
-        deadline_ = front_.deadlines_.at(front_.server_.now() + front_.limits_.whole, [this] {
-            deadline_ = 0;
-            say(too_slow(), true);
-        });
+        whole_by(front_.server_.now() + front_.limits_.whole);
+        front_.enlist(*this, front_.silent_);
     }
 }
 
+// Guards the table against peers that say nothing, or begin a request and never end it.
+void Session::whole_by(core::Time when) {
+    front_.deadlines_.cancel(deadline_);
+    whole_by_ = true;
+    deadline_ = front_.deadlines_.at(when, [this] {
+        deadline_ = 0;
+        if (!partial()) return bury();  // nobody has asked anything
+        say(too_slow(), true);
+    });
+}
+
 void Session::submit(core::Arrival arrival) {
     busy_ = true;
+    front_.delist(*this);
     front_.deadlines_.cancel(deadline_);
     whole_by_ = false;
     const core::RequestNo no = front_.server_.arrive(std::move(arrival), front_, no_);
@@ -60,6 +74,7 @@
 
 void Session::check(bool deep) {
     busy_ = true;
+    front_.delist(*this);
     front_.deadlines_.cancel(deadline_);
     whole_by_ = false;
     front_.server_.check(deep, [front = &front_, no = no_](bool good) {
@@ -95,7 +110,8 @@
     if (!stream_->write(bytes)) return bury();  // a peer that reads nothing
     if (close) {
         finished_ = true;
-        later_.clear();
+        front_.enlist(*this, front_.silent_);
+        std::string().swap(later_);
         stream_->finish();
         if (paused_) stream_->pause(false);
         // Closing outright while bytes come in would reset the connection under the answer.
@@ -111,8 +127,11 @@
 
 void Session::rest() {
     front_.deadlines_.cancel(deadline_);
-    if (front_.idle_ <= core::Span(0)) return;
-    deadline_ = front_.deadlines_.at(front_.server_.now() + front_.idle_, [this] {
+    if (among_ != &front_.resting_) front_.enlist(*this, front_.resting_);
+    const core::Span own = front_.idle_, most = front_.limits_.idle;
+    const core::Span idle = own <= core::Span(0) || (most > core::Span(0) && most < own) ? most : own;
+    if (idle <= core::Span(0)) return;
+    deadline_ = front_.deadlines_.at(since_ + idle, [this] {
         deadline_ = 0;
         bury();
     });
@@ -136,6 +155,7 @@
 }
 
 void Session::bury() {
+    front_.delist(*this);
     front_.deadlines_.cancel(deadline_);
     finished_ = true;
     if (stream_ != nullptr) std::exchange(stream_, nullptr)->close();
@@ -159,29 +179,50 @@
 }
 
 void Front::take() {
-    // Guards the descriptors: at the cap new connections wait unaccepted, until one that is open ends.
-    if (sessions_.size() >= limits_.connections || leaving_) return;
+    if (leaving_) return;
+    const bool room = make_room();
     auto made = make_(*this);
     Session* s = made.get();
     const core::SlotNo no = sessions_.add(std::move(made));
     s->no_ = no;
     s->stream_ = net::Stream::accept(listener_.stream(), *s);
     if (s->stream_ == nullptr) return sessions_.erase(no);
-    if (limits_.first_at_once) {
-        s->whole_by_ = true;
-        s->deadline_ = deadlines_.at(server_.now() + limits_.whole, [s] {
-            s->deadline_ = 0;
-            s->say(s->too_slow(), true);
-        });
-    } else {
-        s->rest();
+    if (!room) {
+        // A request in hand on every connection: this one hears at once that it has to go elsewhere.
+        s->stream_->close();
+        return sessions_.erase(no);
     }
+    enlist(*s, silent_);
+    s->whole_by(server_.now() + limits_.whole);
+}
+
+void Front::remove(core::SlotNo no) { sessions_.erase(no); }
+
+// Guards the descriptors. One that has been silent for longer than a usual caller's goes first, then the caller
+// that has rested longest; never a request in hand.
+bool Front::make_room() {
+    while (sessions_.size() >= limits_.connections) {
+        const bool stale =
+            !silent_.empty() && server_.now() - sessions_.find(silent_.front())->since_ >= settling;
+        std::list<core::SlotNo>& from = stale || resting_.empty() ? silent_ : resting_;
+        if (from.empty()) return false;
+        const core::SlotNo no = from.front();
+        Session& s = *sessions_.find(no);
+        s.bury();
+        deadlines_.cancel(s.deadline_);
+        sessions_.erase(no);  // none of its code is on the stack here
+    }
+    return true;
 }
 
-void Front::remove(core::SlotNo no) {
-    const bool full = sessions_.size() >= limits_.connections;
-    sessions_.erase(no);
-    if (full && !leaving_) take();
+void Front::enlist(Session& s, std::list<core::SlotNo>& among) {
+    delist(s);
+    s.since_ = server_.now();
+    s.among_ = &among;
+    s.place_ = among.insert(among.end(), s.no_);
+}
+void Front::delist(Session& s) {
+    if (s.among_ != nullptr) std::exchange(s.among_, nullptr)->erase(s.place_);
 }
 
 void Front::answer(std::uint64_t ticket, const core::Answer& a) {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -45,6 +46,7 @@
     void pump();
     void conclude(const std::string& bytes, bool close);
     void rest();  // no request is open: deadlines for the next one
+    void whole_by(core::Time when);
     void bury();
 
     net::Stream* stream_ = nullptr;
@@ -54,6 +56,10 @@
     bool busy_ = false, finished_ = false, pumping_ = false, paused_ = false;
     core::Deadlines::Handle deadline_ = 0;
     bool whole_by_ = false;  // the deadline is for the rest of a request
+    std::size_t dropped_ = 0;  // bytes that came after a last answer
+    std::list<core::SlotNo>* among_ = nullptr;  // the Front's list that it stands in, from then on
+    std::list<core::SlotNo>::iterator place_;
+    core::Time since_{0};
 };
 
 class Front final : public core::Responder {
@@ -61,8 +67,8 @@
     using Make = std::function<std::unique_ptr<Session>(Front&)>;
     struct Limits {
         std::size_t connections = 512;
-        core::Span whole{10'000'000};  // a request that has begun is whole by then
-        bool first_at_once = false;  // the first request is due from the accept on, not from its first byte
+        core::Span whole{2'500'000};  // from the accept, later ones from their first byte, to a whole request
+        core::Span idle{0};  // a connection is let go after as long without a request; 0: the caller does it
     };
     Front(net::Loop& loop, core::Deadlines& deadlines, core::Server& server, const net::Address& address,
           const Limits& limits, Make make);
@@ -79,6 +85,9 @@
     friend class Session;
     void take();
     void remove(core::SlotNo no);
+    bool make_room();
+    void enlist(Session& s, std::list<core::SlotNo>& among);
+    void delist(Session& s);
 
     net::Loop& loop_;
     core::Deadlines& deadlines_;
@@ -86,6 +95,9 @@
     const Limits limits_;
     const Make make_;
     core::Slots<Session> sessions_;
+    // Connections with no request in hand, the longest so first: those that have not brought a whole one yet or
+    // are only read out, and those that stay between two requests.
+    std::list<core::SlotNo> silent_, resting_;
     core::Span idle_{0};
     bool leaving_ = false;
     net::Listener listener_;
--- a/src/front/http/session.cpp
+++ b/src/front/http/session.cpp
@@ -4,10 +4,12 @@
 
 #include <cctype>
 
+#include "core/quiet.hpp"
+
 namespace cressledge::front::http {
 namespace {
 
-constexpr std::size_t most_body = 2048, most_head = 8192;
+constexpr std::size_t most_body = 2048, most_head = 8192, most_wire = 32U << 10U;
 
 std::string message(const char* status, std::string_view more, std::string_view body, bool close) {
     std::string out;
@@ -18,6 +20,10 @@
     return out.append("\r\n").append(body);
 }
 
+void trim(std::string& s) {
+    while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.pop_back();
+}
+
 bool same(const std::string& a, const char* b) {
     std::size_t i = 0;
     for (; i < a.size() && b[i] != '\0'; ++i)
@@ -42,16 +48,23 @@
         };
         s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
             HttpSession& me = self(p);
+            if (me.head_done_) return 0;  // a trailer: nothing in it counts
             if (me.in_value_) me.field_done();
             return head(me, me.name_, at, n);
         };
         s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+            if (self(p).head_done_) return 0;
             self(p).in_value_ = true;
             return head(self(p), self(p).value_, at, n);
         };
         s.on_headers_complete = [](http_parser* p) {
             HttpSession& me = self(p);
             if (me.in_value_) me.field_done();
+            me.head_done_ = true;
+            // Guards against a second request concealed in a body whose end two readers see at different places.
+            const bool old = p->http_major == 1 && p->http_minor == 0;
+            me.odd_ = me.odd_ || me.lengths_ + me.codings_ > 1 || (me.codings_ > 0 && old);
+            if (me.odd_) return -1;
             // Refused before the body is read: a length that is too large is known by now.
             const bool known = (p->flags & F_CONTENTLENGTH) != 0;
             if (known && p->content_length > most_body) {
@@ -99,12 +112,21 @@
     value_.clear();
     body_.clear();
     fields_ = {};
-    head_bytes_ = 0;
-    begun_ = in_value_ = expects_ = too_long_ = too_large_ = whole_ = false;
+    head_bytes_ = wire_bytes_ = 0;
+    lengths_ = codings_ = 0;
+    head_done_ = odd_ = begun_ = in_value_ = expects_ = too_long_ = too_large_ = whole_ = false;
 }
 
 void HttpSession::field_done() {
     for (char& c : name_) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    trim(value_);
+    // The parser passes over a space before the colon: other readers take such a field for another.
+    odd_ = odd_ || name_.find_first_of(" \t") != std::string::npos;
+    if (name_ == "content-length") ++lengths_;
+    if (name_ == "transfer-encoding") {
+        ++codings_;
+        odd_ = odd_ || !same(value_, "chunked");
+    }
     fields_.set(name_, value_);
     expects_ = expects_ || (name_ == "expect" && same(value_, "100-continue"));
     name_.clear();
@@ -119,6 +141,9 @@
         whole();
         return used;
     }
+    // Guards against a message that never ends: line ends before it, or what chunks may carry beside the body.
+    wire_bytes_ += used;
+    too_long_ = too_long_ || wire_bytes_ > most_wire;
     if (too_large_) {
         refuse(413, "Payload Too Large");
     } else if (too_long_ || parser_.upgrade != 0 || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
@@ -135,6 +160,7 @@
 }
 
 void HttpSession::whole() {
+    if (parser_.upgrade != 0) return refuse(400, "Bad Request");  // what follows would be another protocol
     const bool get = parser_.method == HTTP_GET, post = parser_.method == HTTP_POST, keep = keep_alive_;
     const std::size_t query = url_.find('?');
     const std::string path = url_.substr(0, query);
@@ -153,7 +179,10 @@
     if (!post) return refuse(405, "Method Not Allowed", !keep);
     const char* wrong = nullptr;
     if (!fields_.fill(arrival, supply_, front_.server().now(), wrong)) {
-        spdlog::info("http: bad request, wrong or missing: {}", wrong);
+        std::uint64_t passed = 0;
+        static core::Quiet quiet;
+        if (quiet.may(front_.server().now(), passed))
+            spdlog::info("http: bad request, wrong or missing: {}; {} more like it", wrong, passed);
         return refuse(400, "Bad Request", !keep);
     }
     arrival.body = std::move(body_);
@@ -174,6 +203,8 @@
         }
         case core::Verdict::out_of_time:
             return message("504 Gateway Timeout", {}, {}, close);
+        case core::Verdict::malformed:
+            return message("400 Bad Request", {}, {}, close);
         case core::Verdict::failed:
             break;
     }
--- a/src/front/http/session.hpp
+++ b/src/front/http/session.hpp
@@ -33,8 +33,10 @@
     std::string url_, name_, value_, body_;
     Fields fields_;
     Supply* const supply_;
-    std::size_t head_bytes_ = 0;
-    bool begun_ = false, in_value_ = false, expects_ = false, too_long_ = false, too_large_ = false;
+    std::size_t head_bytes_ = 0, wire_bytes_ = 0;
+    int lengths_ = 0, codings_ = 0;  // fields that say where the body ends
+    bool head_done_ = false, odd_ = false, begun_ = false, in_value_ = false, expects_ = false,
+         too_long_ = false, too_large_ = false;
     bool whole_ = false, keep_alive_ = true;
 };
 
--- a/src/front/scgi/session.cpp
+++ b/src/front/scgi/session.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <set>
 
+#include "core/quiet.hpp"
+
 namespace cressledge::front::scgi {
 namespace {
 
@@ -100,7 +102,10 @@
 }
 
 void ScgiSession::refuse(const char* status, const char* why) {
-    spdlog::info("scgi: answered {}: {}", status, why);
+    std::uint64_t passed = 0;
+    static core::Quiet quiet;
+    if (quiet.may(front_.server().now(), passed))
+        spdlog::info("scgi: answered {}: {}; {} more like it", status, why, passed);
     whole_ = true;
     say(message(status, {}, {}), true);
 }
@@ -138,6 +143,8 @@
         }
         case core::Verdict::out_of_time:
             return message("504 Gateway Timeout", {}, {});
+        case core::Verdict::malformed:
+            return message("400 Bad Request", {}, {});
         case core::Verdict::failed:
             break;
     }
@@ -147,7 +154,6 @@
     return message(good ? "200 OK" : "503 Service Unavailable", {}, {});
 }
 std::string ScgiSession::too_slow() {
-    spdlog::info("scgi: answered 400: the request was not whole in time");
     whole_ = true;
     return message("400 Bad Request", {}, {});
 }
--- a/src/platform/engine.cpp
+++ b/src/platform/engine.cpp
@@ -192,7 +192,9 @@
         const curlewreel::Settings& s = server_.settings();
         server_.start(loop_.unix_now() - (s.cold ? std::min(age, s.cold_for) : core::Span(0)));
     } else if (what == "NO" && w.size() >= 3) {
-        spdlog::warn("engine: not carried out: {} {}", w[1], w[2]);
+        std::uint64_t passed = 0;
+        if (quiet_.may(loop_.unix_now(), passed))
+            spdlog::warn("engine: not carried out: {} {}; {} more like it", w[1], w[2], passed);
         const auto found = names_.find(std::string(w[2]));
         // Guards against an answer owed for a run that never began.
         if (found != names_.end() && w[1] == "RUN") server_.ended(found->second, core::End::noop, {});
--- a/src/platform/engine.hpp
+++ b/src/platform/engine.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/quiet.hpp"
 #include "core/server.hpp"
 #include "platform/link.hpp"
 
@@ -52,6 +53,7 @@
     core::Server& server_;
     const std::vector<std::string> gauges_;  // in the order in which the engine says them
     Lines lines_;
+    core::Quiet quiet_;
     std::unordered_map<core::RequestNo, Job> jobs_;
     std::unordered_map<std::string, core::RequestNo> names_;
     std::uint64_t last_notice_ = 0, order_ = 0, links_ = 0;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -27,6 +27,8 @@
                server_),
       directory_(loop, deadlines, address("lookup", c.lookup), c.name) {
     front::Front::Limits limits;
+    // Callers close what has rested that long; those that never do are let go a little later.
+    if (c.settings.idle > core::Span(0)) limits.idle = c.settings.idle + core::Span(1'000'000);
     limits.connections =
         c.sockets * 3 / 4;  // callers use half; the rest is for our own links and closing ones
     doors_.add(std::make_unique<front::Front>(
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -31,7 +31,6 @@
     limits.whole = c.whole;
     const auto open = [&](const std::string& where, bool scgi) {
         if (where.empty()) return 0;
-        limits.first_at_once = scgi;
         doors_.add(std::make_unique<front::Front>(
             loop, deadlines, server_, *net::Address::parse(where), limits,
             [this, scgi](front::Front& f) -> std::unique_ptr<front::Session> {
--- a/tests/cressledge/scgi_test.cpp
+++ b/tests/cressledge/scgi_test.cpp
@@ -219,4 +219,23 @@
     o.w.until([&] { return o.server.has(",x"); });
 }
 
+TEST_CASE("over SCGI too, an open request's id is refused to another, and silent clients make room") {
+    Office o;
+    const std::string id = bytes(
+        "HTTP_TRACE_ID\0"
+        "00000000000000aa\0");
+    auto c = o.ask(Office::scgi("/trail-sheet", "x", id));
+    o.w.until([&] { return o.server.has(",x"); });
+    auto thief = o.ask(Office::scgi("/trail-sheet", "y", id));
+    CHECK(o.status(*thief) == "Status: 400 Bad Request");
+    std::vector<std::unique_ptr<Peer>> silent;
+    for (std::size_t i = 0; i < o.o.connections; ++i) silent.push_back(o.client());
+    o.w.until([&] { return silent[0]->ended; });
+    CHECK_FALSE(c->ended);
+    auto late = o.ask(Office::scgi("/healthz", ""));
+    CHECK(o.status(*late) == "Status: 200 OK");
+    o.server.last().send("Status: 200 OK\r\nContent-Length: 1\r\n\r\nz");
+    CHECK(o.status(*c) == "Status: 200 OK");
+}
+
 }  // namespace
