Let a reply that may have gone over before a break show itself before it is sent again

Seen: reading engine.cpp beside the protocol: in_step() sent every unproved command again at once. FEED names no call. Changed: a FEED in doubt waits 100 ms for a notice; so do commands that are older than the engine can have lost. What was never sent goes at once.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -571,8 +571,8 @@
         const auto behind = waiting_.lower_bound({1 - static_cast<std::ptrdiff_t>(r.band), Time::min(), 0});
         const auto ahead = static_cast<std::size_t>(std::distance(waiting_.begin(), behind));
         const double owed = std::accumulate(owed_.begin() + r.band, owed_.end(), 0.0);
-        // What may go on without its call need not wait for one. Guards against a slow dependency that makes all
-        // runs look too long to start, which nothing started then could correct.
+        // What may go on without its call need not wait for one. Guards against a slow dependency that makes
+        // all runs look too long to start, which nothing started then could correct.
         const Price& p = prices_[r.kind];
         const bool skips = s_.classes[r.kind].skip_worth > 0.0;
         const double most = skips ? unwaited * sec(s_.classes[r.kind].target) : 1e6;
--- a/src/platform/engine.cpp
+++ b/src/platform/engine.cpp
@@ -5,10 +5,14 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace cressledge::platform {
 namespace {
 
+// The engine may have lost what it was sent in the last 50 ms before a break. How long a command that it has, as
+// likely as not, is given to show itself by a notice, and how old one is that was not lost for certain.
+constexpr core::Span recent{250'000}, shown_within{100'000}, surely_there{2'000'000};
 constexpr std::size_t most_body = 64U << 10U;  // results hold 4 KiB; calls state no bound of their own
 
 template <class T>
@@ -31,12 +35,16 @@
 }
 
 // A command stays with its job until a notice proves it: guards against one that was lost with a link.
-void Engine::command(core::RequestNo no, std::string bytes) {
+void Engine::command(core::RequestNo no, std::string bytes, bool feeds) {
     const auto it = jobs_.find(no);
     if (it == jobs_.end()) return;
-    it->second.unproved = std::move(bytes);
-    it->second.order = ++order_;
-    if (in_step_) send(it->second.unproved);
+    Job& job = it->second;
+    job.unproved = std::move(bytes);
+    job.order = ++order_;
+    job.sent = in_step_ ? loop_.unix_now() : core::Time(0);
+    job.feeds = feeds;
+    job.doubtful = false;
+    if (in_step_) send(job.unproved);
 }
 
 void Engine::run(const core::Work& work) {
@@ -55,7 +63,7 @@
     const auto it = jobs_.find(no);
     if (it == jobs_.end()) return;
     std::string line = "FEED " + it->second.name + ' ' + std::to_string(reply.size()) + "\r\n";
-    command(no, line.append(reply).append("\r\n"));
+    command(no, line.append(reply).append("\r\n"), true);
 }
 void Engine::skip(core::RequestNo no, std::uint64_t notice) {
     if (const auto it = jobs_.find(no); it != jobs_.end())
@@ -90,7 +98,7 @@
 void Engine::move(const net::Address& address) {
     if (address == address_) return;
     address_ = address;
-    in_step_ = false;
+    out_of_step();
     hang_up();  // a dial that is open as well
     settled();
     connect();
@@ -106,13 +114,13 @@
 void Engine::on_end(bool refused) {
     stream_ = nullptr;
     if (in_step_ || !refused) spdlog::warn("engine: link lost after notice {}", last_notice_);
-    in_step_ = false;
+    out_of_step();
     dial_again();
 }
 
 void Engine::lose(const char* why) {
     spdlog::warn("engine: link given up, {}", why);
-    in_step_ = false;
+    out_of_step();
     hang_up();
     dial_again();
 }
@@ -120,17 +128,46 @@
 void Engine::in_step() {
     in_step_ = true;
     settled();
-    std::vector<const Job*> open;
-    for (const auto& [no, job] : jobs_)
-        if (!job.unproved.empty() || job.halting) open.push_back(&job);
+    const core::Time now = loop_.unix_now();
+    std::vector<Job*> open;
+    for (auto& [no, job] : jobs_) {
+        // A reply that went over just before the break has likely been taken: sent again, it might meet the next
+        // call of its run and pass for the reply to that. It waits for a notice to show it; so do old commands.
+        const bool there = job.sent > core::Time(0) && (job.feeds || lost_ - job.sent > recent);
+        if (job.feeds && there && job.halting) job.unproved.clear();  // nobody wants what it would go on to
+        job.doubtful = !job.unproved.empty() && there && !job.halting;
+        if ((!job.unproved.empty() && !job.doubtful) || job.halting) open.push_back(&job);
+    }
     std::sort(open.begin(), open.end(), [](const Job* a, const Job* b) { return a->order < b->order; });
     std::string all;
-    for (const Job* job : open) {
+    for (Job* job : open) {
         all += job->unproved;
+        job->sent = now;
         if (job->halting) all += "HALT " + job->name + "\r\n";
     }
     spdlog::info("engine: link up, last notice {}, {} commands sent again", last_notice_, open.size());
     if (!all.empty()) send(all);
+    deadlines_.at(now + shown_within, [this, link = links_] {
+        if (in_step_ && link == links_) resolve();
+    });
+}
+
+// What no notice has shown to be there by now is sent again.
+void Engine::resolve() {
+    const core::Time now = loop_.unix_now();
+    std::string all;
+    for (auto& [no, job] : jobs_) {
+        if (!job.doubtful) continue;
+        job.doubtful = false;
+        if (job.unproved.empty() || (job.feeds && lost_ - job.sent > surely_there)) continue;
+        all += job.unproved;
+        job.sent = now;
+    }
+    if (!all.empty()) send(all);
+}
+
+void Engine::out_of_step() {
+    if (std::exchange(in_step_, false)) lost_ = loop_.unix_now();
 }
 
 void Engine::on_bytes(std::string_view bytes) {
@@ -158,6 +195,7 @@
         const core::RequestNo no = found->second;
         Job& job = jobs_.at(no);
         job.unproved.clear();
+        job.doubtful = false;
         if (what == "NEED") return server_.needs(no, n, std::string(body));
         job.halting = false;
         const core::End end = w[3] == "PASS"     ? core::End::pass
--- a/src/platform/engine.hpp
+++ b/src/platform/engine.hpp
@@ -42,12 +42,15 @@
         std::string name;
         std::string unproved;  // the last command, until a notice shows that it was carried out
         std::uint64_t order = 0;
-        bool started = false, halting = false;
+        core::Time sent{0};  // 0: not yet, there was no link
+        bool feeds = false, halting = false, doubtful = false;
     };
-    void command(core::RequestNo no, std::string bytes);
+    void command(core::RequestNo no, std::string bytes, bool feeds = false);
     void send(std::string_view bytes);
     void handle(const std::vector<std::string_view>& words, std::string_view body);
     void in_step();
+    void resolve();
+    void out_of_step();
     void lose(const char* why);
 
     core::Server& server_;
@@ -57,6 +60,7 @@
     std::unordered_map<core::RequestNo, Job> jobs_;
     std::unordered_map<std::string, core::RequestNo> names_;
     std::uint64_t last_notice_ = 0, order_ = 0, links_ = 0;
+    core::Time lost_{0};  // when the last link in step ended
     bool in_step_ = false;  // this link has brought all that the last one missed
 };
 
--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -162,6 +162,23 @@
     s.get(*b, "two");
 }
 
+TEST_CASE("a reply that may have gone over before a break is sent again only if no notice shows it") {
+    Site s;
+    auto a = s.caller(), b = s.caller();
+    const std::string one = s.ask(*a, "trail-sheet", "x"), two = s.ask(*b, "trail-sheet", "y");
+    s.engine.last().send("NEED 1 " + one + " 1\r\np\r\nNEED 2 " + two + " 1\r\nq\r\n");
+    s.w.until([&] { return s.records.peers.size() == 2 && s.records.has("q\r\n"); });
+    s.records.peers[0]->send(one + " DONE 1\r\na\r\n");
+    s.records.peers[1]->send(two + " DONE 1\r\nb\r\n");
+    s.w.until([&] { return s.engine.has("FEED " + one) && s.engine.has("FEED " + two); });
+    s.engine.last().close();
+    s.w.until([&] { return s.engine.peers.size() == 2 && s.engine.has("ATTACH 2\r\n"); });
+    s.hello();
+    s.engine.last().send("NEED 3 " + one + " 1\r\nr\r\n");  // the first reply was taken
+    s.w.until([&] { return s.engine.has("FEED " + two + " 1\r\nb\r\n"); });
+    CHECK_FALSE(s.engine.has("FEED " + one));
+}
+
 TEST_CASE("a write is called again after a refused connection, and never after a broken one") {
     Site s;
     auto c = s.caller();
