Trust a rested connection to the records service for 100 ms, not for a second

Checked: a probe logged how long a connection had rested when its call was sent and when it broke. At fault: records.cpp, `trusted` of 1 s. Conclusion: a new dial is cheaper than the doubt.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t most_served = 64;  // calls of one connection
 // Guards against a connection that the service has closed or forgotten while it stood idle: a call that is lost
 // on it proves nothing, and a write would have failed for good.
-constexpr core::Span trusted{1'000'000};
+constexpr core::Span trusted{100'000};
 
 Outcome outcome_of(std::string_view word) {
     if (word == "DONE") return Outcome::ok;
--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -260,6 +260,20 @@
     }
 }
 
+TEST_CASE("a connection to the records service that has rested is not trusted with another call") {
+    Site s;
+    auto c = s.caller(), d = s.caller();
+    const std::string one = s.ask(*c, "trail-sheet", "x"), two = s.ask(*d, "map-order", "y");
+    s.engine.last().send("NEED 1 " + one + " 1\r\np\r\n");
+    s.w.until([&] { return s.records.has("p\r\n"); });
+    s.records.last().send(one + " DONE 1\r\na\r\n");
+    const Time from = wall();
+    s.w.until([&] { return s.records.last().ended; });
+    CHECK(wall() - from < Span(600'000));
+    s.engine.last().send("NEED 2 " + two + " 1\r\nq\r\n");
+    s.w.until([&] { return s.records.peers.size() == 2 && s.records.has("q\r\n"); });
+}
+
 TEST_CASE("a second copy of a reply never passes for the reply to the next call of its run") {
     Site s;
     auto c = s.caller(), d = s.caller();
