Copy the time-out in a test before what it points to moves

The sanitizers' half of the tests found a read of freed memory in the test of a call that is out too long: the recorded actions grow while it looks at one of them. The module is not touched.

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -709,11 +709,12 @@
     h.send(Needs{1});
     const Call* call = h.last<Call>();
     ASSERT_NE(call, nullptr);
-    EXPECT_GT(call->timeout, 500ms);
-    EXPECT_LT(call->timeout, 920ms);
-    h.pass(h.now + call->timeout);
+    const Span timeout = call->timeout;  // what `call` points to moves as more is recorded
+    EXPECT_GT(timeout, 500ms);
+    EXPECT_LT(timeout, 920ms);
+    h.pass(h.now + timeout);
     EXPECT_EQ(h.answers(1), 0);
-    h.send(Called{1, Outcome::timeout, call->timeout});
+    h.send(Called{1, Outcome::timeout, timeout});
     EXPECT_EQ(h.count<Skip>(1), 1);
     EXPECT_EQ(h.answers(1), 0);
 }
