Route calls over an inventory by membership, power of two choices and a retry budget

Need: one connection a call and the fewest in hand over all servers sends most calls where they are lost once some servers fail fast or never answer; nothing was tried again, and an inventory changed by signal only.

Change: src/membership (states, outliers, panic, slow start, probes), src/routing (two choices on peak EWMA, near first with spill, subsets, Maglev with bounded load, retry budget, back-off with full jitter, cut deadlines, hedging, breaker), kept connections to HTTP servers for safe classes, an inventory with data centre, model, weight, state and tags that is watched, refused row by row and guarded against losing most of its servers. map-order: a connection of its own and never a second call once one stood.

--- a/bench/restart.py
+++ b/bench/restart.py
@@ -125,4 +125,5 @@
         print("%-13s %11.3f  %7d  %8d" % (name, total["worth"] / total["asked"], total["refused"], total["all"]))
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/src/config/inventory.cpp
+++ b/src/config/inventory.cpp
@@ -3,6 +3,7 @@
 #include <csv.h>
 #include <yaml-cpp/yaml.h>
 
+#include <charconv>
 #include <map>
 #include <set>
 
@@ -20,6 +21,44 @@
 class Checked {  // guards against servers that cannot be told apart or reached
 public:
     explicit Checked(const std::string& path) : path_(path) {}
+    // Keeps what is wrong with a row, so that all of a file is told at once.
+    template <class F>
+    void row(F what) {
+        try {
+            what();
+        } catch (const Invalid& e) {
+            if (wrong.size() < most_told) wrong.emplace_back(e.what());
+        }
+    }
+    std::vector<Upstream> done() {
+        if (!wrong.empty()) throw Refused(std::move(wrong));
+        return std::move(all);
+    }
+    // The fields that may be left out.
+    void more(Upstream& u, const std::map<std::string, std::string>& fields, std::size_t line) const {
+        const auto text = [&](const char* name) {
+            const auto it = fields.find(name);
+            return it == fields.end() ? std::string() : it->second;
+        };
+        u.place = text("data_centre");
+        u.model = text("model");
+        if (const std::string weight = text("weight"); !weight.empty()) {
+            const char* end = weight.data() + weight.size();
+            const auto [stop, bad] = std::from_chars(weight.data(), end, u.weight);
+            if (bad != std::errc() || stop != end || !(u.weight >= 0.01 && u.weight <= 1000.0))
+                fail(path_, line, "weight", "not a number from 0.01 to 1000: " + weight);
+        }
+        const std::string state = text("state");
+        if (!state.empty() && state != "in-service" && state != "drained")
+            fail(path_, line, "state", "neither in-service nor drained: " + state);
+        u.drains = state == "drained";
+        std::string tags = text("tags");
+        for (std::size_t at = 0; at < tags.size();) {
+            const std::size_t end = std::min(tags.find(';', at), tags.size());
+            if (end > at) u.tags.push_back(tags.substr(at, end - at));
+            at = end + 1;
+        }
+    }
     void add(Upstream u, std::size_t line) {
         if (u.name.empty()) fail(path_, line, "name", "missing");
         if (u.group.empty()) fail(path_, line, "group", "missing");
@@ -34,8 +73,10 @@
         all.push_back(std::move(u));
     }
     std::vector<Upstream> all;
+    std::vector<std::string> wrong;
 
 private:
+    static constexpr std::size_t most_told = 100;
     const std::string& path_;
     std::set<std::string> names_, addresses_;
 };
@@ -73,9 +114,17 @@
         if (cells.size() != columns.size())
             fail(path, line, "row",
                  std::to_string(cells.size()) + " fields, not " + std::to_string(columns.size()));
-        const auto cell = [&](const char* name) { return cells[columns.at(name)]; };
-        checked.add({cell("name"), cell("address"), cell("protocol"), cell("group"), {}}, line);
+        std::map<std::string, std::string> fields;
+        for (const auto& [name, at] : columns) fields[name] = cells[at];
+        Upstream u;
+        u.name = fields["name"];
+        u.address = fields["address"];
+        u.protocol = fields["protocol"];
+        u.group = fields["group"];
+        checked.more(u, fields, line);
+        checked.add(std::move(u), line);
     };
+    const auto safe_row = [&](std::size_t line) { checked.row([&] { row(line); }); };
     const auto field = [](void* cell, std::size_t n, void* t) {
         static_cast<Table*>(t)->row.emplace_back(static_cast<const char*>(cell), n);
     };
@@ -86,14 +135,15 @@
         const std::size_t end = std::min(text.find('\n', at), text.size() - 1) + 1;
         if (csv_parse(&parser, text.data() + at, end - at, field, ended, &table) != end - at)
             fail(path, line, "row", csv_strerror(csv_error(&parser)));
-        row(line);
+        safe_row(line);
+        if (columns.empty() && !checked.wrong.empty()) return checked.done();  // without a header nothing can be told
         at = end;
     }
     if (csv_fini(&parser, field, ended, &table) != 0)
         fail(path, line, "row", csv_strerror(csv_error(&parser)));
-    row(line);
+    safe_row(line);
     if (columns.empty()) fail(path, 1, "row", "no header row");
-    return checked.all;
+    return checked.done();
 }
 
 // ---- YAML ----
@@ -106,7 +156,7 @@
     std::vector<Upstream> read(const YAML::Node& root) {
         if (!root.IsMap() || !root["all"]) fail(path_, 1, "all", "missing");
         group("all", root["all"], {}, 0);
-        return checked_.all;
+        return checked_.done();
     }
 
 private:
@@ -133,7 +183,7 @@
         vars(node["vars"], "vars", inherited);
         if (const YAML::Node hosts = node["hosts"]; hosts && !hosts.IsNull()) {
             if (!hosts.IsMap()) fail(path_, line(hosts), "hosts", "not a mapping");
-            for (const auto& h : hosts) host(h.first, h.second, name, inherited);
+            for (const auto& h : hosts) checked_.row([&] { host(h.first, h.second, name, inherited); });
         }
         if (const YAML::Node children = node["children"]; children && !children.IsNull()) {
             if (!children.IsMap()) fail(path_, line(children), "children", "not a mapping");
@@ -144,7 +194,13 @@
     }
     void host(const YAML::Node& key, const YAML::Node& node, const std::string& name, Vars all) {
         vars(node, key.Scalar(), all);
-        Upstream u{key.Scalar(), all["address"], all["protocol"], name, above_};
+        Upstream u;
+        u.name = key.Scalar();
+        u.address = all["address"];
+        u.protocol = all["protocol"];
+        u.group = name;
+        u.above = above_;
+        checked_.more(u, all, line(key));
         if (u.address.empty() && !all["ansible_host"].empty())
             u.address = all["ansible_host"] + ':' + all["port"];
         checked_.add(std::move(u), line(key));
@@ -157,6 +213,41 @@
 
 }  // namespace
 
+InventoryDiff diff(const std::vector<Upstream>& before, const std::vector<Upstream>& after) {
+    std::map<std::string, const Upstream*> old;
+    for (const Upstream& u : before) old[u.name] = &u;
+    InventoryDiff d;
+    for (const Upstream& u : after) {
+        const auto it = old.find(u.name);
+        if (it == old.end()) {
+            d.added.push_back(u.name);
+            continue;
+        }
+        if (!(*it->second == u)) d.changed.push_back(u.name);
+        old.erase(it);
+    }
+    for (const auto& [name, u] : old) d.removed.push_back(name);
+    return d;
+}
+
+std::string InventoryDiff::text(std::size_t names) const {
+    std::string all;
+    const auto add = [&](const char* sign, const std::vector<std::string>& some) {
+        if (some.empty()) return;
+        all += (all.empty() ? "" : " ") + std::string(sign) + std::to_string(some.size()) + " (";
+        for (std::size_t i = 0; i < some.size() && i < names; ++i) all += (i == 0 ? "" : ", ") + some[i];
+        all += some.size() > names ? ", ...)" : ")";
+    };
+    add("+", added);
+    add("-", removed);
+    add("~", changed);
+    return all.empty() ? "no change" : all;
+}
+
+bool too_many_gone(const InventoryDiff& d, std::size_t before, double most) {
+    return static_cast<double>(d.removed.size()) > most * static_cast<double>(before);
+}
+
 bool is_inventory(const std::string& path) {
     try {
         const YAML::Node root = YAML::Load(read_file(path));
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -30,7 +30,7 @@
     const Reader r(path);
     r.only(doc, "file",
            {"listen", "inventory", "group", "stop_ms", "drain_grace_ms", "header_ms", "connections",
-            "request_kb", "cores", "memory_kb", "run_factor", "hold_off_ms", "classes", "admission", "learning"});
+            "request_kb", "cores", "memory_kb", "run_factor", "hold_off_ms", "classes", "admission", "learning", "routing"});
     Operator o;
     o.path = path;
     YAML::Node fixed = YAML::Clone(doc);
@@ -60,6 +60,7 @@
     s.crowd_over = curlewreel::Span(2'000'000);
     s.stop = curlewreel::Stop::discard;  // a call that nobody waits for is closed, and its work is lost
     read_admission(r, doc, o);
+    read_routing(r, doc, o.routing);
     if (const YAML::Node l = doc["learning"]) {
         r.only(l, "learning", {"folder", "node", "period_s", "half_life_h", "max_age_h"});
         const auto seconds = [&](const char* name, double least, double most, double otherwise, double unit) {
--- a/src/config/operator.hpp
+++ b/src/config/operator.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "admission/settings.hpp"
+#include "config/routing.hpp"
 #include "config/settings.hpp"
 
 namespace cressledge::config {
@@ -24,6 +25,7 @@
         curlewreel::Span period{30'000'000}, half_life{std::int64_t{24} * 3'600'000'000},
             most_age{std::int64_t{14} * 24 * 3'600'000'000};
     } learning;
+    Routing routing;
     std::string fixed;  // all that changes with a restart only, as text
     curlewreel::Settings settings;
 };
--- /dev/null
+++ b/src/config/routing.hpp
@@ -0,0 +1,29 @@
+// The section `routing` of the operator's file.
+#pragma once
+
+#include "config/reader.hpp"
+#include "membership/membership.hpp"
+#include "routing/attempts.hpp"
+#include "routing/balancer.hpp"
+
+namespace cressledge::config {
+
+struct Routing {
+    routing::Policy policy = routing::Policy::two_choices;
+    std::string place, node;  // this process's data centre and name
+    double spill = 1.5;
+    std::uint32_t most_in_hand = 0;
+    std::size_t subset = 0;
+    double retry_share = 0.1;  // extra tries for each first one
+    bool hedging = false, probes = true;
+    routing::AttemptRules attempts;
+    membership::Rules members;
+    std::uint32_t kept = 4, kept_in_all = 64;  // idle connections, of one server and in all; 0: none
+    curlewreel::Span kept_idle{5'000'000}, kept_age{60'000'000};
+    curlewreel::Span watch{1'000'000};  // between two looks at the inventory's file; 0: none
+    double most_gone = 0.5;  // of the servers in force; a file that drops more is refused
+};
+
+void read_routing(const Reader& r, const YAML::Node& doc, Routing& to);  // throws Invalid
+
+}  // namespace cressledge::config
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -43,6 +43,7 @@
                         admission::Descriptors::Lease lease = {}, int* bad = nullptr);
     static Stream* accept(Listener& listener, Owner& owner, admission::Descriptors::Lease lease = {},
                           int* bad = nullptr);
+    void hand_over(Owner& owner) { owner_ = &owner; }  // what comes from here on is told to another
     Address peer() const;  // the other side's; all zero if it has gone
 
     // False when the other side has let too much pile up, or the stream is closing: close it.
--- /dev/null
+++ b/src/routing/maglev.cpp
@@ -0,0 +1,57 @@
+#include "routing/maglev.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace cressledge::routing {
+namespace {
+
+std::uint64_t hash(const std::string& s, std::uint64_t seed) { return XXH3_64bits_withSeed(s.data(), s.size(), seed); }
+
+}  // namespace
+
+void Maglev::build(const std::vector<std::string>& names, std::size_t size) {
+    table_.clear();
+    if (names.empty()) return;
+    constexpr std::uint32_t unset = ~std::uint32_t{0};
+    table_.assign(size, unset);
+    struct Walk {
+        std::uint64_t at, skip;
+    };
+    std::vector<Walk> walks;
+    for (const std::string& n : names) walks.push_back({hash(n, 1) % size, hash(n, 2) % (size - 1) + 1});
+    // Each in turn takes the next free place of its own permutation.
+    for (std::size_t filled = 0; filled < size;) {
+        for (std::uint32_t i = 0; i < walks.size() && filled < size; ++i) {
+            Walk& w = walks[i];
+            while (table_[w.at] != unset) w.at = (w.at + w.skip) % size;
+            table_[w.at] = i;
+            ++filled;
+        }
+    }
+}
+
+std::uint32_t Maglev::find(std::uint64_t key, std::uint32_t n) const {
+    const std::uint64_t words[2] = {key, n};
+    return table_[XXH3_64bits(words, sizeof words) % table_.size()];
+}
+
+std::vector<std::uint32_t> subset(const std::string& node, const std::vector<std::string>& names, std::size_t size) {
+    std::vector<std::uint32_t> all(names.size());
+    std::iota(all.begin(), all.end(), 0U);
+    if (size == 0 || size >= names.size()) return all;
+    const std::uint64_t seed = hash(node, 3);
+    std::vector<std::uint64_t> rank;
+    for (const std::string& n : names) rank.push_back(hash(n, seed));
+    std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(size), all.end(), [&](auto a, auto b) {
+        return rank[a] != rank[b] ? rank[a] > rank[b] : names[a] < names[b];
+    });
+    all.resize(size);
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+}  // namespace cressledge::routing
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -3,158 +3,460 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace cressledge::upstream {
 namespace {
 
+using membership::No;
+using membership::nobody;
+using membership::Result;
+
 constexpr core::Span shun_for{1'000'000};
-constexpr double mostly = 0.5;
 constexpr core::Span dial_again{10'000};  // a call that found no descriptor
+constexpr core::Span tick_every{250'000}, probe_wait{1'000'000};
+constexpr double mostly = 0.5;
+constexpr std::size_t most_probes = 16;  // at a time
+
+routing::BalancerRules balancing(const config::Routing& r) {
+    routing::BalancerRules b;
+    b.policy = r.policy;
+    b.place = r.place;
+    b.spill = r.spill;
+    b.most_in_hand = r.most_in_hand;
+    b.subset = r.subset;
+    b.node = r.node;
+    return b;
+}
 
 }  // namespace
 
-struct Upstream::Job final : net::Stream::Owner {
+// One call to one server.
+struct Upstream::Attempt final : net::Stream::Owner {
+    Attempt(Upstream& up, Job& of, No to, bool second) : upstream(up), job(of), server(to), hedge(second) {}
+    ~Attempt() override;
+    void on_open() override;
+    void on_bytes(std::string_view bytes) override;
+    void on_end(bool refused) override;
+    void judge(Reader::Got got);
+    void send();
+
+    Upstream& upstream;
+    Job& job;
+    const No server;
+    const bool hedge;
+    net::Stream* stream = nullptr;
+    std::unique_ptr<Reader> reader;
+    core::Time since{0}, born{0};
+    core::Deadlines::Handle late = 0;
+    bool sent = false, reused = false, answered = false, counted = false;  // answered: a byte has come back
+};
+
+struct Upstream::Job {
     Job(Upstream& up, const core::Work& w)
         : upstream(up), no(w.no), name(w.name), kind(w.kind), body(w.body), held_kb(w.held_kb), due(w.due),
-          accepted(w.accepted) {}
-    ~Job() override { hang_up(); }
-
-    core::Work work() const { return {no, name, kind, body, held_kb, accepted, due}; }
-    void hang_up() {
-        if (stream != nullptr) std::exchange(stream, nullptr)->close();
-        if (target) --target->calls;
-        target.reset();
+          accepted(w.accepted) {
+        const std::size_t k = up.server_.kind_of(kind);
+        safe = k != curlewreel::unknown && up.server_.settings().classes[k].effect == curlewreel::Effect::safe;
+        number = k == curlewreel::unknown ? 0 : k;
     }
+    ~Job() {
+        upstream.deadlines_.cancel(retry);
+        upstream.deadlines_.cancel(hedge);
+    }
+    core::Work work() const { return {no, name, kind, body, held_kb, accepted, due}; }
 
-    void unreached() {
-        spdlog::warn("upstream {}: no connection", target->server.name);
-        target->shun = upstream.clock_.unix_now() + shun_for;
-        target->learned.learn(upstream.clock_.unix_now(), false, 0.0);
-        hang_up();
+    Upstream& upstream;
+    const core::RequestNo no;
+    const std::string name, kind, body;
+    const double held_kb;
+    const core::Time due, accepted;
+    bool safe = false;
+    std::size_t number = 0;  // of its class
+    std::vector<std::unique_ptr<Attempt>> attempts;  // under way: one, or two with a hedge
+    std::vector<No> tried;
+    std::uint32_t tries = 0;
+    core::Deadlines::Handle retry = 0, hedge = 0;
+    bool ending = false, fresh = false;  // fresh: not on a kept connection
+};
+
+struct Upstream::Spare final : net::Stream::Owner {  // a kept connection that nobody uses
+    Spare(Upstream& up, No to, core::Time when) : upstream(up), server(to), born(when) {}
+    ~Spare() override {
+        upstream.deadlines_.cancel(end);
+        if (stream != nullptr) stream->close();
+    }
+    void on_bytes(std::string_view) override { upstream.drop(*this); }  // it says what nobody asked
+    void on_end(bool) override {
+        stream = nullptr;
+        upstream.drop(*this);
     }
+    Upstream& upstream;
+    const No server;
+    const core::Time born;
+    net::Stream* stream = nullptr;
+    core::Deadlines::Handle end = 0;
+};
 
+struct Upstream::Probe final : net::Stream::Owner {
+    Probe(Upstream& up, No to) : upstream(up), server(to), address(up.members_.at(to).spec.address) {}
+    ~Probe() override {
+        upstream.deadlines_.cancel(late);
+        if (stream != nullptr) stream->close();
+    }
     void on_open() override {
-        const bool scgi = target->server.protocol == "scgi";
-        reader = scgi ? scgi_reader() : http_reader();
-        sent = true;  // from here on nothing proves that it did not run
-        const std::string call = scgi ? scgi_call(work()) : http_call(work(), target->server.address);
-        if (!stream->write(call)) upstream.over(no, core::End::fail, {});
+        if (upstream.members_.at(server).spec.protocol == "scgi") return done(Result::ok);  // it has no word for it
+        stream->write("GET /healthz HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n");
+    }
+    void on_bytes(std::string_view bytes) override {
+        got.append(bytes);
+        // Whatever it answers, it answers; only its own word that it is not well counts against it.
+        if (got.size() >= 12) done(got.compare(9, 1, "5") == 0 ? Result::error : Result::ok);
     }
-    void on_bytes(std::string_view bytes) override { judge(reader->take(bytes)); }
     void on_end(bool refused) override {
         stream = nullptr;
-        if (refused && !sent) {
-            // A refused connection proves that nothing ran: another server may be tried, or a write be lost.
-            unreached();
-            return upstream.attempt(*this);
-        }
-        const Reader::Got got = reader ? reader->end() : Reader::Got::broken;
-        judge(got == Reader::Got::more ? Reader::Got::broken : got);
+        done(refused ? Result::refused : Result::error);
     }
-    void judge(Reader::Got got) {
-        if (got == Reader::Got::more) return;
-        const bool whole = got == Reader::Got::whole && reader->reply.status >= 200 && reader->reply.status < 300;
-        const core::Time now = upstream.clock_.unix_now();
-        const double took = std::max(0.0, static_cast<double>((now - dialled).count()) * 1e-6);
-        if (target) target->learned.learn(now, whole, took);
-        if (got == Reader::Got::broken) {
-            spdlog::warn("upstream {}: no whole answer for {}", target->server.name, name);
-            return upstream.over(no, core::End::fail, {});
-        }
-        if (!whole) spdlog::info("upstream {}: {} for {}", target->server.name, reader->reply.status, name);
-        upstream.over(no, whole ? core::End::pass : core::End::fail, std::move(reader->reply.body));
+    void done(Result result) {
+        if (over) return;
+        over = true;
+        if (stream != nullptr) std::exchange(stream, nullptr)->close();
+        // Told and removed on the next turn: its own code is on the stack.
+        upstream.deadlines_.cancel(late);
+        late = upstream.deadlines_.at(core::Time(0), [this, result] {
+            late = 0;
+            Upstream& up = upstream;
+            const bool same = up.members_.at(server).spec.address == address;
+            if (same) up.told(up.members_.probed(up.clock_.unix_now(), server, result));
+            std::erase_if(up.probes_, [this](const auto& p) { return p.get() == this; });
+        });
     }
-
     Upstream& upstream;
-    const core::RequestNo no;
-    const std::string name, kind, body;
-    const double held_kb;
-    const core::Time due, accepted;
+    const No server;
+    const std::string address;
+    std::string got;
     net::Stream* stream = nullptr;
-    std::shared_ptr<Target> target;
-    std::unique_ptr<Reader> reader;
-    std::set<std::string> tried;
-    bool sent = false, ending = false;
-    core::Time dialled{0};
+    core::Deadlines::Handle late = 0;
+    bool over = false;
 };
 
+// ---- a call ----
+
+Upstream::Attempt::~Attempt() {
+    upstream.deadlines_.cancel(late);
+    if (stream != nullptr) stream->close();
+    if (!counted) {  // cancelled: it says nothing of the server
+        const core::Time now = upstream.clock_.unix_now();
+        upstream.balancer_.cancelled(now, server, now - since);
+        upstream.told(upstream.members_.cancelled(now, server));
+    }
+}
+void Upstream::Attempt::on_open() { send(); }
+
+void Upstream::Attempt::send() {
+    const membership::Spec& spec = upstream.members_.at(server).spec;
+    const bool scgi = spec.protocol == "scgi";
+    reader = scgi ? scgi_reader() : http_reader();
+    sent = true;  // from here on nothing proves that it did not run
+    // A write has a connection to itself, from its dial to its end: a reset on it is never one that had been kept.
+    const bool keep = job.safe && upstream.rules_.kept > 0;
+    const std::string call = scgi ? scgi_call(job.work()) : http_call(job.work(), spec.address, keep);
+    if (!stream->write(call)) upstream.settle(*this, Result::error, false);
+}
+void Upstream::Attempt::on_bytes(std::string_view bytes) {
+    if (counted || !reader) return;
+    answered = true;
+    judge(reader->take(bytes));
+}
+void Upstream::Attempt::on_end(bool refused) {
+    stream = nullptr;
+    if (counted) return;
+    if (refused && !sent) return upstream.settle(*this, Result::refused, true);
+    const Reader::Got got = reader ? reader->end() : Reader::Got::broken;
+    judge(got == Reader::Got::more ? Reader::Got::broken : got);
+}
+void Upstream::Attempt::judge(Reader::Got got) {
+    if (got == Reader::Got::more) return;
+    const bool whole = got == Reader::Got::whole && reader->reply.status >= 200 && reader->reply.status < 300;
+    upstream.settle(*this, whole ? Result::ok : Result::error, false);
+}
+
+// ---- the executor ----
+
 Upstream::Upstream(net::Loop& loop, core::Deadlines& deadlines, core::Server& server, core::Clock& clock,
-                   admission::Descriptors& descriptors)
-    : loop_(loop), deadlines_(deadlines), server_(server), clock_(clock), descriptors_(descriptors) {}
-Upstream::~Upstream() { deadlines_.cancel(retry_); }
+                   admission::Descriptors& descriptors, const config::Routing& routing, std::uint64_t seed)
+    : loop_(loop), deadlines_(deadlines), server_(server), clock_(clock), descriptors_(descriptors), rules_(routing),
+      random_(seed, 9), members_(routing.members), balancer_(members_, balancing(routing)),
+      budget_(routing.retry_share) {
+    for (std::size_t i = 0; i < server.settings().classes.size(); ++i) hedges_.emplace_back(routing.attempts);
+}
+Upstream::~Upstream() {
+    deadlines_.cancel(retry_);
+    deadlines_.cancel(tick_);
+    jobs_.clear();
+    probes_.clear();
+    spares_.clear();
+}
 
 void Upstream::use(const std::vector<config::Upstream>& servers) {
-    std::vector<std::shared_ptr<Target>> fresh;
-    for (const config::Upstream& s : servers) {
-        // A server that stays keeps its count of calls: guards against crowding it after each reload.
-        const auto same = [&s](const auto& t) {
-            return t->server.name == s.name && t->server.address == s.address;
-        };
-        const auto known = std::find_if(targets_.begin(), targets_.end(), same);
-        auto target = known != targets_.end() ? *known : std::make_shared<Target>();
-        target->server = s;
-        if (const auto a = net::Address::parse(s.address)) target->address = *a;
-        fresh.push_back(std::move(target));
+    std::vector<membership::Spec> all;
+    for (const config::Upstream& s : servers)
+        all.push_back({s.name, s.address, s.protocol, s.place, s.model, s.weight, s.drains});
+    const auto changes = members_.use(clock_.unix_now(), all, random_);
+    spares_.resize(members_.numbers());
+    learned_.resize(members_.numbers());
+    for (const auto& c : changes)
+        if (c.from == membership::State::gone || c.to == membership::State::gone) learned_[c.no] = {};
+    told(changes);
+    balancer_.refresh();
+}
+
+void Upstream::start() { tick(); }
+
+void Upstream::tick() {
+    const core::Time now = clock_.unix_now();
+    told(members_.tick(now));
+    if (rules_.probes)
+        for (const No no : members_.due_probes(now, random_)) probe(no);
+    tick_ = deadlines_.at(now + tick_every, [this] { tick(); });
+}
+
+void Upstream::told(const std::vector<membership::Change>& changes) {
+    if (changes.empty()) return;
+    balancer_.refresh();
+    for (const auto& c : changes) {
+        if (c.to == membership::State::draining || c.to == membership::State::gone || c.to == membership::State::ejected)
+            if (c.no < spares_.size()) spares_[c.no].clear();
+        std::uint64_t passed = 0;
+        if (c.from == membership::State::gone || c.to == membership::State::gone) continue;  // the inventory's line says it
+        if (quiet_change_.may(server_.now(), passed))
+            spdlog::info("upstream {}: {} after {}: {}; {} more changes", members_.at(c.no).spec.name, word(c.to),
+                         word(c.from), c.why, passed);
     }
-    targets_ = std::move(fresh);
+    if (spares_.size() < members_.numbers()) spares_.resize(members_.numbers());
 }
 
-learning::Servers Upstream::learned() const {
-    learning::Servers all;
-    for (const auto& t : targets_)
-        if (t->learned.calls >= 1.0) all[t->server.name] = t->learned;
-    return all;
+void Upstream::probe(No no) {
+    if (probes_.size() >= most_probes) return;
+    auto lease = descriptors_.take(clock_.unix_now(), admission::Purpose::upstream);
+    if (!lease) return;
+    auto made = std::make_unique<Probe>(*this, no);
+    Probe& p = *made;
+    probes_.push_back(std::move(made));
+    p.stream = net::Stream::dial(loop_.uv(), *net::Address::parse(p.address), p, std::move(lease));
+    if (p.stream == nullptr) return p.done(Result::refused);
+    p.late = deadlines_.at(clock_.unix_now() + probe_wait, [&p] {
+        p.late = 0;
+        p.done(Result::timeout);
+    });
 }
 
-void Upstream::restore(const learning::Servers& servers) {
-    for (const auto& t : targets_) {
-        const auto it = servers.find(t->server.name);
-        if (it == servers.end()) continue;
-        t->learned = it->second;
-        if (t->learned.failed > mostly) t->shun = clock_.unix_now() + shun_for;
+// ---- kept connections ----
+
+void Upstream::keep(No no, net::Stream* stream, core::Time born) {
+    const core::Time now = clock_.unix_now(), age = born + rules_.kept_age;
+    const auto state = members_.at(no).state;
+    const bool wanted = state == membership::State::ready || state == membership::State::joining;
+    if (!wanted || spares_[no].size() >= rules_.kept || spare_count_ >= rules_.kept_in_all || now >= age)
+        return stream->close();
+    spares_[no].push_back(std::make_unique<Spare>(*this, no, born));
+    Spare& s = *spares_[no].back();
+    s.stream = stream;
+    stream->hand_over(s);
+    ++spare_count_;
+    s.end = deadlines_.at(std::min(age, now + rules_.kept_idle), [this, &s] {
+        s.end = 0;
+        drop(s);
+    });
+}
+
+net::Stream* Upstream::spare(No no, net::Stream::Owner& owner, core::Time& born) {
+    auto& all = spares_[no];
+    // The one used last is the least likely to have been closed.
+    while (!all.empty()) {
+        const auto s = std::move(all.back());
+        all.pop_back();
+        --spare_count_;
+        if (s->stream == nullptr) continue;
+        born = s->born;
+        net::Stream* stream = std::exchange(s->stream, nullptr);
+        stream->hand_over(owner);
+        return stream;
     }
+    return nullptr;
 }
 
+void Upstream::drop(Spare& spare) {
+    if (spare.stream != nullptr) std::exchange(spare.stream, nullptr)->close();
+    // Freed on the next turn: its own code may be on the stack.
+    deadlines_.cancel(spare.end);
+    spare.end = deadlines_.at(core::Time(0), [this, &spare] {
+        spare.end = 0;
+        auto& all = spares_[spare.server];
+        spare_count_ -= std::erase_if(all, [&spare](const auto& s) { return s.get() == &spare; });
+    });
+}
+
+// ---- requests ----
+
 void Upstream::run(const core::Work& work) {
     auto made = std::make_unique<Job>(*this, work);
     Job& job = *made;
     jobs_[work.no] = std::move(made);
-    attempt(job);
+    budget_.first_try();
+    ++counts_.requests;
+    attempt(job, false);
 }
 
-void Upstream::attempt(Job& job) {
+void Upstream::attempt(Job& job, bool hedge) {
     const core::Time now = clock_.unix_now();
-    std::shared_ptr<Target> best;
-    ++turn_;
-    for (std::size_t i = 0; i < targets_.size(); ++i) {
-        const auto& t = targets_[(turn_ + i) % targets_.size()];
-        if (job.tried.count(t->server.name) != 0) continue;
-        const auto rank = [now](const Target& x) { return std::pair(x.shun > now, x.calls); };
-        if (!best || rank(*t) < rank(*best)) best = t;
-    }
-    if (!best) {
-        spdlog::warn("upstream: no server took {}", job.name);
+    const std::uint64_t key = 0;  // of the fields of a request none is an affinity yet
+    const No no = balancer_.pick(now, key, job.tried, random_);
+    if (no == nobody) {
+        if (!job.attempts.empty()) return;
+        std::uint64_t passed = 0;
+        if (quiet_.may(server_.now(), passed))
+            spdlog::warn("upstream: no server took {}; {} more like it", job.name, passed);
         return over(job.no, core::End::fail, {});
     }
+    auto made = std::make_unique<Attempt>(*this, job, no, hedge);
+    Attempt& a = *made;
+    a.since = now;
+    balancer_.started(now, no);
+    job.attempts.push_back(std::move(made));
+    if (!dial(a)) return;
+    job.tried.push_back(no);
+    ++job.tries;
+    ++counts_.calls;
+    // A try that another server could follow does not get all that is left: guards against black holes.
+    const bool others = job.safe && job.tried.size() < balancer_.candidates().size();
+    const core::Time end = others ? routing::try_deadline(now, job.due, job.tries, rules_.attempts) : job.due;
+    if (end < job.due)
+        a.late = deadlines_.at(end, [this, &a] {
+            a.late = 0;
+            settle(a, Result::timeout, false);
+        });
+    if (!job.safe || !rules_.hedging || job.tries > 1) return;
+    if (const core::Span after = hedges_[job.number].after(); after != core::Span::max())
+        job.hedge = deadlines_.at(now + after, [this, &job] {
+            job.hedge = 0;
+            if (job.ending || job.attempts.size() != 1 || breaker_.open() || !budget_.take()) return;
+            ++counts_.hedges;
+            attempt(job, true);
+        });
+}
+
+// False: nothing has been sent, and the attempt is no more.
+bool Upstream::dial(Attempt& a) {
+    Job& job = a.job;
+    const core::Time now = clock_.unix_now();
+    const auto undo = [&] { std::erase_if(job.attempts, [&a](const auto& x) { return x.get() == &a; }); };
+    const membership::Spec& spec = members_.at(a.server).spec;
+    if (job.safe && !job.fresh && spec.protocol == "http") {
+        a.stream = spare(a.server, a, a.born);
+        if (a.stream != nullptr) {
+            a.reused = true;
+            ++counts_.reused;
+            a.send();
+            return true;
+        }
+    }
     auto lease = descriptors_.take(now, admission::Purpose::upstream);
-    if (!lease) return park(job);
-    job.tried.insert(best->server.name);
-    job.target = best;
-    ++best->calls;
-    job.dialled = now;
-    int bad = 0;
-    job.stream = net::Stream::dial(loop_.uv(), best->address, job, std::move(lease), &bad);
-    if (job.stream != nullptr) return;
+    int bad = lease ? 0 : UV_EMFILE;
+    const auto address = net::Address::parse(spec.address);
+    if (lease && address) a.stream = net::Stream::dial(loop_.uv(), *address, a, std::move(lease), &bad);
+    a.born = now;
+    if (a.stream != nullptr) return true;
     if (bad == UV_EMFILE || bad == UV_ENFILE) {
-        descriptors_.refused_by_system(now);
-        job.tried.erase(best->server.name);
-        job.hang_up();
-        return park(job);
+        if (lease) descriptors_.refused_by_system(now);
+        const bool alone = job.attempts.size() == 1;
+        undo();
+        if (alone) park(job);
+        return false;
     }
-    job.unreached();
-    attempt(job);
+    job.tried.push_back(a.server);
+    settle(a, Result::refused, true);
+    return false;
+}
+
+// An attempt is over. `nothing_ran`: that is proved.
+void Upstream::settle(Attempt& a, Result result, bool nothing_ran) {
+    if (a.counted) return;
+    a.counted = true;
+    Job& job = a.job;
+    const core::Time now = clock_.unix_now();
+    const core::Span took = std::max(core::Span(0), now - a.since);
+    const std::string& name = members_.at(a.server).spec.name;
+    const int status = a.reader ? a.reader->reply.status : 0;
+    const core::Span retry_after = a.reader ? a.reader->reply.retry_after : core::Span(0);
+    // A kept connection that ends before a byte of the answer had been closed by its server: nobody's fault.
+    const bool stale = a.reused && !a.answered && result == Result::error;
+    std::uint64_t passed = 0;
+    if (result != Result::ok && !stale && quiet_.may(server_.now(), passed)) {
+        if (result == Result::refused)
+            spdlog::warn("upstream {}: no connection; {} more like it", name, passed);
+        else if (status != 0)
+            spdlog::info("upstream {}: {} for {}; {} more like it", name, status, job.name, passed);
+        else
+            spdlog::warn("upstream {}: no whole answer for {}; {} more like it", name, job.name, passed);
+    }
+    if (stale) {
+        ++counts_.stale;
+        balancer_.cancelled(now, a.server, took);
+        told(members_.cancelled(now, a.server));
+    } else {
+        learned_[a.server].learn(now, result == Result::ok, static_cast<double>(took.count()) * 1e-6);
+        balancer_.ended(now, a.server, result, took);
+        if (result == Result::refused) balancer_.shun(a.server, now + shun_for);
+        if (retry_after > core::Span(0)) balancer_.shun(a.server, now + retry_after);
+        told(members_.ended(now, a.server, result, took));
+        breaker_.ended(result == Result::ok);
+    }
+    deadlines_.cancel(a.late);
+    if (result == Result::ok) {
+        hedges_[job.number].learn(took);
+        std::string body = std::move(a.reader->reply.body);
+        if (a.stream != nullptr && a.reader->stays() && job.safe && rules_.kept > 0)
+            keep(a.server, std::exchange(a.stream, nullptr), a.born);
+        return over(job.no, core::End::pass, std::move(body));
+    }
+    if (a.stream != nullptr) std::exchange(a.stream, nullptr)->close();
+    // The attempt itself goes on the next turn: its own code may be on the stack.
+    const bool last = std::all_of(job.attempts.begin(), job.attempts.end(), [](const auto& x) { return x->counted; });
+    if (!last || job.ending) return;  // the other one may still answer
+    if (stale && !job.fresh) {
+        job.fresh = true;
+        job.tried.erase(std::remove(job.tried.begin(), job.tried.end(), a.server), job.tried.end());
+        return again(job, Result::refused, true, core::Span(0));
+    }
+    // Whether it may be repeated is the status's to say: what a server calls the caller's fault stays so.
+    const bool blamed = status >= 400 && status < 500 && status != 429 && status != 408;
+    if (blamed) return over(job.no, core::End::fail, std::move(a.reader->reply.body));
+    again(job, result, nothing_ran, core::Span(0));
+}
+
+void Upstream::again(Job& job, Result result, bool nothing_ran, core::Span retry_after) {
+    const core::Time now = clock_.unix_now();
+    // A refused connection proves that nothing ran: the next is called at once, a write as well, and at no cost.
+    const bool free = nothing_ran && result == Result::refused;
+    const bool more = free || (job.safe && job.tries < rules_.attempts.most_tries && !breaker_.open() &&
+                               job.tried.size() < balancer_.candidates().size());
+    if (!more) return over(job.no, core::End::fail, {});
+    if (!free && !budget_.take()) {
+        ++counts_.no_budget;
+        return over(job.no, core::End::fail, {});  // at once: nothing else is going to happen
+    }
+    const core::Time when =
+        free ? core::Time(0) : routing::retry_at(now, job.tries, retry_after, rules_.attempts, random_);
+    if (!free && when >= job.due) return over(job.no, core::End::fail, {});
+    counts_.retries += free ? 0 : 1;
+    deadlines_.cancel(job.hedge);
+    deadlines_.cancel(job.retry);
+    job.retry = deadlines_.at(when, [this, &job] {
+        job.retry = 0;
+        std::erase_if(job.attempts, [](const auto& a) { return a->counted; });
+        if (!job.ending) attempt(job, false);
+    });
 }
 
 // Guards a request against a moment without descriptors. Nothing of the call has been sent, so it may still be
@@ -172,7 +474,7 @@
     std::deque<core::RequestNo> now;
     now.swap(parked_);
     for (const core::RequestNo no : now)
-        if (const auto it = jobs_.find(no); it != jobs_.end() && !it->second->ending) attempt(*it->second);
+        if (const auto it = jobs_.find(no); it != jobs_.end() && !it->second->ending) attempt(*it->second, false);
 }
 
 // Told on the next turn: the Controller's actions come first, in their order.
@@ -180,7 +482,10 @@
     const auto it = jobs_.find(no);
     if (it == jobs_.end() || it->second->ending) return;
     it->second->ending = true;
-    it->second->hang_up();
+    deadlines_.cancel(it->second->retry);
+    deadlines_.cancel(it->second->hedge);
+    for (const auto& a : it->second->attempts)
+        if (a->stream != nullptr) std::exchange(a->stream, nullptr)->close();
     deadlines_.at(core::Time(0), [this, no, end, body = std::move(body)] {
         if (jobs_.erase(no) != 0) server_.ended(no, end, body);
     });
@@ -200,9 +505,45 @@
 }
 bool Upstream::test(std::uint64_t tag) {
     const core::Time now = clock_.unix_now();
-    server_.tested(
-        tag, std::any_of(targets_.begin(), targets_.end(), [now](const auto& t) { return t->shun <= now; }));
+    const auto& all = balancer_.candidates();
+    server_.tested(tag, std::any_of(all.begin(), all.end(), [&](No no) { return !balancer_.shunned(now, no); }));
     return true;
 }
 
+// ---- what is learned and told ----
+
+learning::Servers Upstream::learned() const {
+    learning::Servers all;
+    for (const No no : members_.listed())
+        if (learned_[no].calls >= 1.0) all[members_.at(no).spec.name] = learned_[no];
+    return all;
+}
+
+void Upstream::restore(const learning::Servers& servers) {
+    for (const No no : members_.listed()) {
+        const auto it = servers.find(members_.at(no).spec.name);
+        if (it == servers.end()) continue;
+        learned_[no] = it->second;
+        if (it->second.failed > mostly) balancer_.shun(no, clock_.unix_now() + shun_for);
+    }
+}
+
+void Upstream::report(std::size_t most) const {
+    std::size_t in[6] = {};
+    for (const No no : members_.listed()) ++in[static_cast<std::size_t>(members_.at(no).state)];
+    spdlog::info("upstream: inventory version {}: {} ready, {} joining, {} suspect, {} ejected, {} draining{}",
+                 members_.version(), in[1], in[0], in[2], in[3], in[4], members_.panic() ? ", panic: all are used" : "");
+    spdlog::info("upstream: {} requests, {} calls, {} retries, {} hedges, {} on kept connections ({} stale), {} without "
+                 "budget, {:.2f} of calls fail{}",
+                 counts_.requests, counts_.calls, counts_.retries, counts_.hedges, counts_.reused, counts_.stale,
+                 counts_.no_budget, breaker_.failing(), breaker_.open() ? ", breaker open" : "");
+    for (const No no : members_.listed()) {
+        const membership::Member& m = members_.at(no);
+        if (m.state == membership::State::ready || m.state == membership::State::joining) continue;
+        if (most-- == 0) break;
+        spdlog::info("upstream {}: {}, {} in hand, {:.2f} of calls fail, {:.3f} s a call, {} ejections in a row", m.spec.name,
+                     word(m.state), m.in_hand, m.failing, m.seconds, m.ejections);
+    }
+}
+
 }  // namespace cressledge::upstream
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -61,8 +61,9 @@
       server_(c.settings, curlewreel::make_controller(c.settings, seed), clock, deadlines),
       supply_(seed, c.request_kb),
       porter_(deadlines, server_, descriptors_, fitted(c.admission, plan_for(c)), seed), doors_(loop, deadlines, server_, c.stop),
-      upstream_(loop, deadlines, server_, clock, descriptors_) {
-    upstream_.use(servers_of(c));
+      upstream_(loop, deadlines, server_, clock, descriptors_, c.routing, seed) {
+    servers_ = servers_of(c);
+    upstream_.use(servers_);
     server_.attach(upstream_, records_, *this);
     front::Front::Limits limits;
     limits.whole = c.whole;
@@ -81,6 +82,21 @@
     if (!c.learning.folder.empty()) remember(clock.unix_now());
     server_.start(clock.unix_now());
     if (keeper_) keeper_->start();
+    upstream_.start();
+    look_at_inventory();
+}
+
+void Gateway::look_at_inventory() {
+    watch_.reset();
+    const auto ms = static_cast<unsigned>(config_.routing.watch.count() / 1000);
+    if (ms == 0) return;
+    watch_ = std::make_unique<net::Watch>(loop_.uv(), config_.inventory, ms, [this] { read_again(false); });
+    // Guards against a change between the reading and the watch's own first look.
+    deadlines_.cancel(look_);
+    look_ = deadlines_.at(server_.now() + config_.routing.watch, [this] {
+        look_ = 0;
+        read_again(false);
+    });
 }
 
 void Gateway::remember(core::Time now) {
@@ -100,6 +116,7 @@
 
 void Gateway::report() {
     porter_.report(config_.top);
+    upstream_.report(config_.top);
     if (keeper_) keeper_->report();
 }
 
@@ -111,23 +128,40 @@
     spdlog::info("serving: scgi port {}, http port {}", scgi_port_, http_port_);
 }
 
-void Gateway::reload() {
+void Gateway::read_again(bool settings) {
     const char* part = "configuration";
     try {
         const auto lease = descriptors_.take(server_.now(), admission::Purpose::file);
-        config::Operator fresh = config_.path.empty() ? config_ : config::load_operator(config_.path);
+        config::Operator fresh =
+            config_.path.empty() || !settings ? config_ : config::load_operator(config_.path);
         if (fresh.fixed != config_.fixed)
             throw config::Invalid(config_.path + ": all but inventory, group, connections and admission change "
                                                  "with a restart only");
         const admission::Plan plan = plan_for(fresh);
         part = "inventory";
-        const auto servers = servers_of(fresh);
+        auto servers = servers_of(fresh);
+        const config::InventoryDiff d = config::diff(servers_, servers);
+        // Guards against a file that was cut at the end of a row, or written by a tool that found nothing. Another
+        // file or group is the operator's own word.
+        const bool same_place = fresh.inventory == config_.inventory && fresh.group == config_.group;
+        if (same_place && config::too_many_gone(d, servers_.size(), config_.routing.most_gone))
+            throw config::Invalid(fresh.inventory + ": " + std::to_string(d.removed.size()) + " of " +
+                                  std::to_string(servers_.size()) + " servers gone, more than most_gone allows");
         // All has been read and checked before the first is used: guards against half a configuration in force.
+        const bool moved = fresh.inventory != config_.inventory;
         config_ = std::move(fresh);
-        descriptors_.reshape(plan);
-        porter_.reload(fitted(config_.admission, plan));
-        upstream_.use(servers);
-        spdlog::info("inventory: {} servers in force", servers.size());
+        if (settings) {
+            descriptors_.reshape(plan);
+            porter_.reload(fitted(config_.admission, plan));
+        }
+        servers_ = std::move(servers);
+        if (!d.empty()) upstream_.use(servers_);
+        if (moved) look_at_inventory();
+        if (settings || !d.empty())
+            spdlog::info("inventory: {} servers in force, version {}: {}", servers_.size(), upstream_.members().version(),
+                     d.text(8));
+    } catch (const config::Refused& e) {
+        for (const std::string& row : e.rows) spdlog::error("{}: the old one stays in force: {}", part, row);
     } catch (const config::Invalid& e) {
         spdlog::error("{}: the old one stays in force: {}", part, e.what());
     }
--- a/src/upstream/gateway.hpp
+++ b/src/upstream/gateway.hpp
@@ -7,6 +7,7 @@
 #include "front/fields.hpp"
 #include "front/porter.hpp"
 #include "learning/keeper.hpp"
+#include "net/watch.hpp"
 #include "upstream/executor.hpp"
 
 namespace cressledge::upstream {
@@ -22,10 +23,12 @@
     // The core goes by `clock`; the loop is one, and tests bring their own.
     Gateway(net::Loop& loop, core::Deadlines& deadlines, core::Clock& clock, const config::Operator& config,
             std::uint64_t seed);
+    ~Gateway() override { deadlines_.cancel(look_); }
     void start();  // and take signals
     void leave() { doors_.leave(); }
     // The operator's file, if there is one, and the inventory: whole or not at all.
-    void reload();
+    void reload() { read_again(true); }
+    const Upstream& upstream() const { return upstream_; }
     void report();
     void finish() {  // after the loop: what was learned is kept
         if (keeper_) keeper_->finish();
@@ -42,6 +45,8 @@
     admission::Plan plan_for(const config::Operator& o) const;
 
     void remember(core::Time now);
+    void read_again(bool settings);  // or the inventory alone
+    void look_at_inventory();
 
     config::Operator config_;
     net::Loop& loop_;
@@ -54,6 +59,9 @@
     front::Doors doors_;
     NoRecords records_;
     Upstream upstream_;
+    std::vector<config::Upstream> servers_;  // in force
+    std::unique_ptr<net::Watch> watch_;
+    core::Deadlines::Handle look_ = 0;
     std::vector<admission::Descriptors::Lease> kept_open_;  // the store's files
     std::unique_ptr<learning::Keeper> keeper_;  // null: nothing is kept
     int scgi_port_ = 0, http_port_ = 0;
--- a/src/upstream/wire.cpp
+++ b/src/upstream/wire.cpp
@@ -10,6 +10,13 @@
 
 constexpr std::size_t most_body = 64U << 10U, most_head = 8192;
 
+bool same(std::string_view a, std::string_view lower) {
+    if (a.size() != lower.size()) return false;
+    for (std::size_t i = 0; i < a.size(); ++i)
+        if ((a[i] >= 'A' && a[i] <= 'Z' ? a[i] + 32 : a[i]) != lower[i]) return false;
+    return true;
+}
+
 class HttpReader final : public Reader {
 public:
     HttpReader() {
@@ -17,9 +24,11 @@
         parser_.data = this;
     }
     Got take(std::string_view bytes) override {
-        http_parser_execute(&parser_, &hooks(), bytes.data(), bytes.size());
+        const std::size_t used = http_parser_execute(&parser_, &hooks(), bytes.data(), bytes.size());
+        more_ = more_ || used < bytes.size();  // more than was asked for
         return judge();
     }
+    bool stays() const override { return whole_ && keep_ && !more_; }
     Got end() override {
         if (!whole_) http_parser_execute(&parser_, &hooks(), nullptr, 0);
         const Got got = judge();
@@ -35,6 +44,24 @@
         static const http_parser_settings all = [] {
             http_parser_settings s;
             http_parser_settings_init(&s);
+            s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+                HttpReader& me = *static_cast<HttpReader*>(p->data);
+                if (me.in_value_) me.name_.clear(), me.value_.clear();
+                me.in_value_ = false;
+                if (me.name_.size() < 64) me.name_.append(at, n);
+                return 0;
+            };
+            s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+                HttpReader& me = *static_cast<HttpReader*>(p->data);
+                me.in_value_ = true;
+                if (!same(me.name_, "retry-after") || me.value_.size() > 16) return 0;
+                me.value_.append(at, n);
+                unsigned seconds = 0;  // a date is passed over
+                const char* end = me.value_.data() + me.value_.size();
+                const auto [stop, bad] = std::from_chars(me.value_.data(), end, seconds);
+                if (bad == std::errc() && stop == end) me.reply.retry_after = core::Span(std::min(seconds, 3600U) * 1'000'000ULL);
+                return 0;
+            };
             s.on_headers_complete = [](http_parser* p) { return p->status_code < 200 ? 1 : 0; };
             s.on_body = [](http_parser* p, const char* at, std::size_t n) {
                 std::string& body = static_cast<HttpReader*>(p->data)->reply.body;
@@ -46,6 +73,8 @@
                 if (p->status_code < 200) return 0;  // an interim answer
                 static_cast<HttpReader*>(p->data)->reply.status = static_cast<int>(p->status_code);
                 static_cast<HttpReader*>(p->data)->whole_ = true;
+                static_cast<HttpReader*>(p->data)->keep_ = http_should_keep_alive(p) != 0;
+                http_parser_pause(p, 1);  // what follows is no part of it
                 return 0;
             };
             return s;
@@ -53,16 +82,10 @@
         return all;
     }
     http_parser parser_{};
-    bool whole_ = false;
+    std::string name_, value_;
+    bool whole_ = false, keep_ = false, more_ = false, in_value_ = false;
 };
 
-bool same(std::string_view a, std::string_view lower) {
-    if (a.size() != lower.size()) return false;
-    for (std::size_t i = 0; i < a.size(); ++i)
-        if ((a[i] >= 'A' && a[i] <= 'Z' ? a[i] + 32 : a[i]) != lower[i]) return false;
-    return true;
-}
-
 class ScgiReader final : public Reader {
 public:
     Got take(std::string_view bytes) override {
@@ -123,12 +146,12 @@
 std::unique_ptr<Reader> http_reader() { return std::make_unique<HttpReader>(); }
 std::unique_ptr<Reader> scgi_reader() { return std::make_unique<ScgiReader>(); }
 
-std::string http_call(const core::Work& w, std::string_view host) {
+std::string http_call(const core::Work& w, std::string_view host, bool keep) {
     std::string out = "POST /v1/";
     out.append(w.kind).append(" HTTP/1.1\r\nHost: ").append(host);
     out.append("\r\nTrace-Id: ").append(w.name).append("\r\nAccepted-At-Ms: ").append(stamp(w.accepted));
     out.append("\r\nReserve-Kb: ").append(std::to_string(w.held_kb));
-    out.append("\r\nConnection: close\r\nContent-Length: ").append(std::to_string(w.body.size()));
+    out.append(keep ? "\r\nContent-Length: " : "\r\nConnection: close\r\nContent-Length: ").append(std::to_string(w.body.size()));
     return out.append("\r\n\r\n").append(w.body);
 }
 
