--- a/src/main.cpp
+++ b/src/main.cpp
@@ -112,6 +112,44 @@
     return verb == "check" && !kept.refusals().empty() ? 1 : 0;
 }
 
+// Inventories: what is wrong with one, what is in one, what differs between two.
+int inventory(const std::vector<std::string>& words, bool as_json) {
+    const bool two = !words.empty() && words[0] == "diff";
+    if (words.size() != (two ? 3U : 2U) || (!two && words[0] != "check" && words[0] != "show"))
+        throw config::Invalid("inventory: check or show and a file, or diff and two");
+    try {
+        const auto first = config::load_inventory(words[1]);
+        if (two) {
+            const auto d = config::diff(first, config::load_inventory(words[2]));
+            if (as_json)
+                std::cout << nlohmann::json{{"added", d.added}, {"removed", d.removed}, {"changed", d.changed}}.dump(2);
+            else
+                std::cout << d.text(1'000);
+            std::cout << '\n';
+            return 0;
+        }
+        if (words[0] == "check") {
+            std::cout << words[1] << ": inventory of " << first.size() << " servers\n";
+            return 0;
+        }
+        nlohmann::json all = nlohmann::json::array();
+        for (const auto& u : first) {
+            if (!as_json)
+                std::cout << u.name << ' ' << u.address << ' ' << u.protocol << ' ' << u.group << " data centre "
+                          << (u.place.empty() ? "-" : u.place) << " model " << (u.model.empty() ? "-" : u.model) << " weight "
+                          << u.weight << (u.drains ? " drained" : "") << '\n';
+            all.push_back({{"name", u.name}, {"address", u.address}, {"protocol", u.protocol}, {"group", u.group},
+                           {"data_centre", u.place}, {"model", u.model}, {"weight", u.weight}, {"drained", u.drains},
+                           {"tags", u.tags}});
+        }
+        if (as_json) std::cout << all.dump(2) << '\n';
+        return 0;
+    } catch (const config::Refused& e) {
+        for (const std::string& row : e.rows) std::cerr << "cressledge: " << row << '\n';
+        return 2;
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -119,13 +157,14 @@
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     try {
         cxxopts::Options options("cressledge", "Map server of Sentiers du Sahel Cartographie");
-        options.positional_help("[serve|check|state|version] [FILE...]");
+        options.positional_help("[serve|check|inventory|state|version] [FILE...]");
         options.add_options()("command",
                               "serve: the default; check: read files and say what is wrong; "
+                              "inventory check|show FILE, diff FILE FILE; "
                               "state show|check|export|reset FOLDER: what was learned; version",
                               cxxopts::value<std::string>()->default_value("serve"))(
             "files", "the files to check", cxxopts::value<std::vector<std::string>>()->default_value(""))(
-            "json", "state: print JSON")("c,config", "serve: the node's configuration instead of $NODE_CONFIG",
+            "json", "state, inventory: print JSON")("c,config", "serve: the node's configuration instead of $NODE_CONFIG",
             cxxopts::value<std::string>())("o,operator",
                                            "serve: an operator's file, for SCGI and an inventory",
                                            cxxopts::value<std::string>())("h,help", "print this");
@@ -143,6 +182,10 @@
             return state(given.count("files") != 0 ? given["files"].as<std::vector<std::string>>()
                                                    : std::vector<std::string>(),
                          given.count("json") != 0);
+        if (command == "inventory")
+            return inventory(given.count("files") != 0 ? given["files"].as<std::vector<std::string>>()
+                                                       : std::vector<std::string>(),
+                             given.count("json") != 0);
         if (given.count("files") != 0) throw config::Invalid(command + ": takes no files");
         if (command == "version") {
             std::cout << "cressledge " << version << '\n';
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -226,7 +226,10 @@
     balancer_.refresh();
     for (const auto& c : changes) {
         if (c.to == membership::State::draining || c.to == membership::State::gone || c.to == membership::State::ejected)
-            if (c.no < spares_.size()) spares_[c.no].clear();
+            if (c.no < spares_.size()) {
+                spare_count_ -= spares_[c.no].size();
+                spares_[c.no].clear();
+            }
         std::uint64_t passed = 0;
         if (c.from == membership::State::gone || c.to == membership::State::gone) continue;  // the inventory's line says it
         if (quiet_change_.may(server_.now(), passed))
@@ -297,6 +300,16 @@
     });
 }
 
+bool Upstream::drop_one() {
+    for (auto& all : spares_)
+        for (auto& s : all)
+            if (s->stream != nullptr) {
+                drop(*s);
+                return true;
+            }
+    return false;
+}
+
 // ---- requests ----
 
 void Upstream::run(const core::Work& work) {
@@ -362,6 +375,8 @@
         }
     }
     auto lease = descriptors_.take(now, admission::Purpose::upstream);
+    // Guards a call against connections that are kept for calls to come.
+    if (!lease && drop_one()) lease = descriptors_.take(now, admission::Purpose::upstream);
     int bad = lease ? 0 : UV_EMFILE;
     const auto address = net::Address::parse(spec.address);
     if (lease && address) a.stream = net::Stream::dial(loop_.uv(), *address, a, std::move(lease), &bad);
--- a/src/upstream/executor.hpp
+++ b/src/upstream/executor.hpp
@@ -87,6 +87,7 @@
     void keep(membership::No no, net::Stream* stream, core::Time born);
     net::Stream* spare(membership::No no, net::Stream::Owner& owner, core::Time& born);
     void drop(Spare& spare);
+    bool drop_one();  // a kept connection, for its descriptor
     learning::Server& learned_of(membership::No no);
 
     net::Loop& loop_;
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -22,6 +22,7 @@
 
 namespace {
 
+constexpr std::size_t probes = 16;  // of servers, at a time
 constexpr std::size_t store_files = 3;  // the lock, the log, and what is written for a moment
 constexpr std::size_t signal_pipe = 2;  // libuv's own, opened with the first signal that is asked for
 
@@ -42,7 +43,7 @@
     needs.listeners = (o.scgi.empty() ? 0U : 1U) + (o.http.empty() ? 0U : 1U);
     needs.lobby = s.lobby;
     needs.files = o.learning.folder.empty() ? 0 : store_files;
-    needs.upstream = s.requests == 0 ? s.connections : s.requests;
+    needs.upstream = (s.requests == 0 ? s.connections : s.requests) + o.routing.kept_in_all + probes;
     needs.upstream_least = static_cast<std::size_t>(o.settings.cores) * 2;
     for (const admission::Group& g : s.groups) needs.reserve += g.connections;
     // What the operator allows the process, and never more than the system lets it have.
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -11,8 +11,16 @@
     [ -z "$("$@" 2>/dev/null)" ] || { echo "half a sentence on standard output: $*"; exit 1; }
     [ -n "$err" ] && [ "$(printf '%s\n' "$err" | wc -l)" -eq 1 ] || { echo "not one line: $err"; exit 1; }
 }
+"$1" inventory show "$root/deploy/inventory.yaml" --json | grep -q '"weight": 1.0' || { echo "no inventory shown"; exit 1; }
+"$1" inventory diff "$root/deploy/inventory.yaml" "$root/example/servers.csv" | grep -q '^+1 (toy) -3 (' || { echo "no diff"; exit 1; }
+folder=$(mktemp -d)
+"$1" state reset "$folder" >/dev/null && "$1" state show "$folder" --json | grep -q '"entries": 0' || { echo "no state"; exit 1; }
+rm -r "$folder"
 bad "$1"
 bad "$1" dance
+bad "$1" state dance /tmp
+bad "$1" inventory diff "$root/deploy/inventory.yaml"
+bad "$1" state show /nonexistent
 bad "$1" serve --config /nonexistent.json
 bad "$1" serve --operator "$root/README.md"
 bad "$1" serve --no-such-option
