--- a/src/config/inventory.cpp
+++ b/src/config/inventory.cpp
@@ -234,9 +234,13 @@
     std::string all;
     const auto add = [&](const char* sign, const std::vector<std::string>& some) {
         if (some.empty()) return;
-        all += (all.empty() ? "" : " ") + std::string(sign) + std::to_string(some.size()) + " (";
-        for (std::size_t i = 0; i < some.size() && i < names; ++i) all += (i == 0 ? "" : ", ") + some[i];
-        all += some.size() > names ? ", ...)" : ")";
+        if (!all.empty()) all.push_back(' ');
+        all.append(sign).append(std::to_string(some.size())).append(" (");
+        for (std::size_t i = 0; i < some.size() && i < names; ++i) {
+            if (i != 0) all.append(", ");
+            all.append(some[i]);
+        }
+        all.append(some.size() > names ? ", ...)" : ")");
     };
     add("+", added);
     add("-", removed);
--- a/tests/all.sh
+++ b/tests/all.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
-# The test command: configure, build, ctest; once more with sanitizers; then the library as a new user takes it in.
+# The test command: the build of the deploy file; configure, build, ctest; once more with sanitizers; then the library as a new user takes it in.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# As it is built where it serves: the compiler warns of more when it optimises further.
+cmake -S . -B build -DCMAKE_BUILD_TYPE=Release
+cmake --build build -j4
 for kind in plain sanitize; do
     on=OFF bench=ON
     [ $kind = plain ] || { on=ON; bench=OFF; }
