Send requests of one key to one server where affinity is on, and test the new sections

Need: the consistent hashing was built and no request used it; the sections learning and routing and the inventory's further fields had no tests of their errors.

Change: a request's Lookup-Key goes with its work; routing.affinity (off by default) lets Maglev with bounded load choose by it. Tests of the checks.

Checked: plain tests green, eight keys of five requests each on one server of four.

--- a/src/config/routing.cpp
+++ b/src/config/routing.cpp
@@ -9,7 +9,7 @@
     const YAML::Node at = doc["routing"];
     if (!at) return;
     r.only(at, "routing",
-           {"policy", "place", "node", "spill", "most_in_hand", "subset", "retries", "hedging", "probes", "members",
+           {"policy", "place", "node", "spill", "most_in_hand", "subset", "retries", "hedging", "affinity", "probes", "members",
             "kept", "watch_ms", "most_gone"});
     const auto flag = [&](const YAML::Node& map, const char* name, bool otherwise) {
         bool b = otherwise;
@@ -30,6 +30,7 @@
     to.subset = r.whole(at, "subset", 1.0, 1e6, 0.0);
     if (to.subset != 0 && to.node.empty()) r.fail(at["subset"], "subset", "needs a node, by whose name it is chosen");
     to.hedging = flag(at, "hedging", false);
+    to.affinity = flag(at, "affinity", false);
     to.probes = flag(at, "probes", true);
     to.watch = r.span(at, "watch_ms", 0.0, 1000.0);
     to.most_gone = r.number(at, "most_gone", 0.0, 1.0, 0.5);
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -259,7 +259,7 @@
     e->ran = true;
     ++counts_.runs;
     const Arrival& r = e->arrival;
-    executor_->run({a.id, r.name, settings_.classes[r.kind].name, r.body, r.held_kb, r.accepted, e->due});
+    executor_->run({a.id, r.name, settings_.classes[r.kind].name, r.body, r.held_kb, r.accepted, e->due, r.key});
 }
 
 void Server::carry(const curlewreel::Refuse& a) {
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -51,6 +51,7 @@
     std::string_view name, kind, body;
     double held_kb = 0.0;
     Time accepted{0}, due{0};
+    std::string_view key;  // what a read is about; empty: none
 };
 class Executor {  // runs work; reports to Server::ended, needs, sampled and tested, later or at once
 public:
--- a/src/routing/maglev.cpp
+++ b/src/routing/maglev.cpp
@@ -13,6 +13,10 @@
 
 }  // namespace
 
+std::uint64_t key_of(std::string_view text) {
+    return text.empty() ? 0 : std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
 void Maglev::build(const std::vector<std::string>& names, std::size_t size) {
     table_.clear();
     if (names.empty()) return;
--- a/src/routing/maglev.hpp
+++ b/src/routing/maglev.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cressledge::routing {
@@ -21,6 +22,8 @@
     std::vector<std::uint32_t> table_;
 };
 
+std::uint64_t key_of(std::string_view text);  // 0 for the empty one only
+
 // The servers that `node` uses out of `names`, by rendezvous hashing: places in `names`, in order. One that comes or
 // goes changes one place at most.
 std::vector<std::uint32_t> subset(const std::string& node, const std::vector<std::string>& names, std::size_t size);
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -55,7 +55,7 @@
 struct Upstream::Job {
     Job(Upstream& up, const core::Work& w)
         : upstream(up), no(w.no), name(w.name), kind(w.kind), body(w.body), held_kb(w.held_kb), due(w.due),
-          accepted(w.accepted) {
+          accepted(w.accepted), key(up.rules_.affinity ? routing::key_of(w.key) : 0) {
         const std::size_t k = up.server_.kind_of(kind);
         safe = k != curlewreel::unknown && up.server_.settings().classes[k].effect == curlewreel::Effect::safe;
         number = k == curlewreel::unknown ? 0 : k;
@@ -64,13 +64,14 @@
         upstream.deadlines_.cancel(retry);
         upstream.deadlines_.cancel(hedge);
     }
-    core::Work work() const { return {no, name, kind, body, held_kb, accepted, due}; }
+    core::Work work() const { return {no, name, kind, body, held_kb, accepted, due, {}}; }
 
     Upstream& upstream;
     const core::RequestNo no;
     const std::string name, kind, body;
     const double held_kb;
     const core::Time due, accepted;
+    const std::uint64_t key;
     bool safe = false;
     std::size_t number = 0;  // of its class
     std::vector<std::unique_ptr<Attempt>> attempts;  // under way: one, or two with a hedge
@@ -323,8 +324,7 @@
 
 void Upstream::attempt(Job& job, bool hedge) {
     const core::Time now = clock_.unix_now();
-    const std::uint64_t key = 0;  // of the fields of a request none is an affinity yet
-    const No no = balancer_.pick(now, key, job.tried, random_);
+    const No no = balancer_.pick(now, job.key, job.tried, random_);
     if (no == nobody) {
         if (!job.attempts.empty()) return;
         std::uint64_t passed = 0;
--- a/tests/cressledge/config_test.cpp
+++ b/tests/cressledge/config_test.cpp
@@ -150,6 +150,50 @@
     CHECK(of("  descriptors: 2\n") == "o.yaml:12: descriptors: not a number from 16 to 1000000");
 }
 
+TEST_CASE("the sections on learning and routing, the inventory's further fields, and what is wrong with them") {
+    Folder f;
+    const std::string head = R"(listen: {scgi: "127.0.0.1:4000"}
+inventory: i.csv
+cores: 6
+classes: [{name: map-order, effect: unsafe, target_ms: 3500, deadline_ms: 12000}]
+)";
+    const auto o = config::load_operator(f.write(
+        "o.yaml", head + "learning: {folder: kept, node: n1, half_life_h: 2}\nrouting: {place: thies, retries: {share: 0.2}, "
+                         "members: {eject_ms: 100}, kept: {of_one: 0}}\n"));
+    CHECK(o.learning.folder == f.path + "/kept");
+    CHECK(o.learning.half_life == Span(7'200'000'000));
+    CHECK((o.routing.place == "thies" && o.routing.retry_share == 0.2 && o.routing.kept == 0));
+    CHECK(o.routing.members.eject_for == Span(100'000));
+    const auto of = [&](const std::string& more) {
+        return complaint([&] { config::load_operator(f.write("o.yaml", head + more)); });
+    };
+    CHECK(of("learning: {folder: x}\n") == "o.yaml:5: node: missing");
+    CHECK(of("learning: {folder: x, node: n, max_age_h: 1}\n") == "o.yaml:5: max_age_h: below half_life_h");
+    CHECK(of("routing:\n  policy: best\n") == "o.yaml:6: policy: none of two-choices, round-robin, fewest-in-hand");
+    CHECK(of("routing:\n  subset: 4\n") == "o.yaml:6: subset: needs a node, by whose name it is chosen");
+    CHECK(of("routing:\n  hedging: perhaps\n") == "o.yaml:6: hedging: neither true nor false");
+    CHECK(of("routing:\n  members:\n    eject_ms: 90000\n    eject_most_ms: 1000\n") == "o.yaml:8: eject_most_ms: below eject_ms");
+    const auto all = config::load_inventory(
+        f.write("i.csv", "name,address,protocol,group,data_centre,model,weight,state,tags,rack\n"
+                         "tiles-07.thies.example.org,127.0.0.1:1,http,maps,thies,fast-box,1.5,drained,a;b,r1\n"
+                         "tiles-08.thies.example.org,127.0.0.1:2,scgi,maps,thies,,,,,\n"));
+    REQUIRE(all.size() == 2);
+    CHECK((all[0].place == "thies" && all[0].model == "fast-box" && all[0].weight == 1.5 && all[0].drains));
+    CHECK((all[0].tags == std::vector<std::string>{"a", "b"} && all[1].weight == 1.0 && !all[1].drains));
+    try {
+        config::load_inventory(f.write("i.csv", "name,address,protocol,group,weight,state\na,127.0.0.1:1,http,g,0,\n"
+                                                "b,127.0.0.1:2,http,g,1,\nc,127.0.0.1:3,http,g,1,asleep\n"));
+        FAIL("accepted");
+    } catch (const config::Refused& e) {
+        REQUIRE(e.rows.size() == 2);
+        CHECK(e.rows[0].find("i.csv:2: weight: not a number from 0.01 to 1000: 0") != std::string::npos);
+        CHECK(e.rows[1].find("i.csv:4: state: neither in-service nor drained: asleep") != std::string::npos);
+    }
+    const auto d = config::diff({all[0]}, all);
+    CHECK(d.text(3) == "+1 (tiles-08.thies.example.org)");
+    CHECK(config::too_many_gone(config::diff(all, {}), 2, 0.5));
+}
+
 TEST_CASE("the node's configuration") {
     const std::string good =
         R"({"name":"n3","listen":"127.0.0.1:0","engine":"e","lookup":"l","records":"r","seed":"8c1f30d27a5be964",)"
--- a/tests/cressledge/routing_test.cpp
+++ b/tests/cressledge/routing_test.cpp
@@ -333,10 +333,10 @@
     }
     void write(const std::string& text) { folder.write("s.csv", text); }
     void start() { gateway = std::make_unique<upstream::Gateway>(w.loop, w.deadlines, w.loop, o, 7); }
-    std::string ask(const std::string& kind, const std::string& body) {
+    std::string ask(const std::string& kind, const std::string& body, const std::string& more = "") {
         if (!client || client->ended) client = dial(w, gateway->http_port());
         client->got.clear();
-        client->send("POST /v1/" + kind + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        client->send("POST /v1/" + kind + " HTTP/1.1\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         w.until([&] { return client->has("\r\n\r\n") || client->ended; });
         return client->got.substr(9, 3);
     }
@@ -462,6 +462,20 @@
     for (int i = 0; i < 6; ++i) CHECK(hole.ask("route-profile", std::to_string(i) + '.') == "200");
 }
 
+TEST_CASE("requests of one key go to one server where affinity is on") {
+    Town t(4);
+    t.o.routing.affinity = true;
+    t.start();
+    for (int key = 0; key < 8; ++key) {
+        std::size_t before[4], at = 0;
+        for (std::size_t h = 0; h < 4; ++h) before[h] = t.hosts[h]->ran.size();
+        for (int i = 0; i < 5; ++i)
+            CHECK(t.ask("route-profile", std::to_string(key * 10 + i) + '.', "Lookup-Key: 000000000000000" + std::to_string(key) + "\r\n") == "200");
+        for (std::size_t h = 0; h < 4; ++h) at += t.hosts[h]->ran.size() != before[h] ? 1 : 0;
+        CHECK(at == 1);
+    }
+}
+
 TEST_CASE("a hedge goes out for a safe call only, within the budget") {
     Town t(2);
     t.o.routing.hedging = true;
