--- a/bench/fleet_sim.cpp
+++ b/bench/fleet_sim.cpp
@@ -52,7 +52,7 @@
     std::vector<No> tried;
     bool done = false;
 };
-enum class What { arrive, finish, expire, retry, hedge, tick, probe, deploy, fail };
+enum class What { arrive, finish, expire, retry, hedge, tick, deploy, fail };
 struct Event {
     Time at;
     std::uint64_t order;
@@ -98,9 +98,10 @@
         const auto at_part = [&](double p) {
             return took_.empty() ? 0.0 : took_[static_cast<std::size_t>(p * static_cast<double>(took_.size() - 1))] * 1e3;
         };
-        std::printf("%-6s %5zu  %-26s %7.1f %8.1f %8.3f%%  %10.3f\n", all_fail_ ? "fail" : "usual", n, design_.name,
+        const double failing = asked_failing_ == 0 ? 0.0 : static_cast<double>(sent_failing_) / static_cast<double>(asked_failing_);
+        std::printf("%-6s %5zu  %-26s %7.1f %8.1f %8.3f%%  %10.3f  %10.3f\n", all_fail_ ? "fail" : "usual", n, design_.name,
                     at_part(0.5), at_part(0.99), 100.0 * static_cast<double>(failed_) / static_cast<double>(asked_),
-                    static_cast<double>(sent_) / static_cast<double>(asked_));
+                    static_cast<double>(sent_) / static_cast<double>(asked_), failing);
     }
 
 private:
@@ -128,6 +129,7 @@
                 const std::uint64_t no = ++last_request_;
                 requests_[no] = {now_, now_ + patience, 0, 0, {}, false};
                 ++asked_;
+                asked_failing_ += failing_ ? 1 : 0;
                 budget_.first_try();
                 send(no, false);
                 return;
@@ -179,8 +181,6 @@
             case What::fail:
                 failing_ = true;
                 return;
-            case What::probe:
-                return;
         }
     }
     std::size_t specs_of(No no) const { return no; }  // the first inventory numbers them in its order
@@ -195,6 +195,7 @@
         ++r.tries;
         ++r.out;
         ++sent_;
+        sent_failing_ += failing_ ? 1 : 0;
         r.tried.push_back(server);
         balancer_.started(now_, server);
         const std::uint64_t id = ++last_try_;
@@ -271,6 +272,7 @@
     std::map<std::uint64_t, Request> requests_;
     std::map<std::uint64_t, Try> tries_;
     std::uint64_t order_ = 0, last_request_ = 0, last_try_ = 0, asked_ = 0, failed_ = 0, sent_ = 0;
+    std::uint64_t asked_failing_ = 0, sent_failing_ = 0;  // since every server fails
     Time now_{0};
     std::vector<double> took_;
 };
@@ -288,7 +290,7 @@
         {"two choices, all rules", Policy::two_choices, true, true, true},
     };
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
-    std::printf("day    servers policy                       p50 ms   p99 ms   failed   tries a request\n");
+    std::printf("day    servers policy                       p50 ms   p99 ms   failed   tries a request, and once all fail\n");
     for (const bool fail : {false, true})
         for (const std::size_t n : {std::size_t{10}, std::size_t{100}, std::size_t{1000}})
             for (const Design& d : designs) {
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -145,10 +145,6 @@
     const Seat* s = find(seat);
     return s == nullptr ? Ip{} : s->ip;
 }
-Span Gate::since(Time now, SeatNo seat) const {
-    const Seat* s = find(seat);
-    return s == nullptr ? Span(0) : now - s->since;
-}
 
 // ---- who makes room ----
 
--- a/src/admission/gate.hpp
+++ b/src/admission/gate.hpp
@@ -60,7 +60,6 @@
     void reload(Time now, Settings settings);  // the open ones are counted anew under the new groups
 
     Ip ip(SeatNo seat) const;
-    Span since(Time now, SeatNo seat) const;  // how long it has been what it is
 
     struct Row {  // one source in the report
         std::string source, group;
--- a/src/admission/sources.cpp
+++ b/src/admission/sources.cpp
@@ -68,7 +68,6 @@
         // Guards the rate against addresses that rotate: who takes a place over takes its bucket over too.
         tokens = std::min(tokens, s.bucket.tokens());
         for (std::size_t r = 0; r < reasons; ++r) evicted_refusals_[r] += s.refused[r];
-        ++evicted_;
     } else {
         ++known_;
     }
--- a/src/admission/sources.hpp
+++ b/src/admission/sources.hpp
@@ -58,7 +58,6 @@
     std::size_t known() const { return known_; }
     std::size_t bytes() const { return all_.size() * sizeof(Source); }
     const Tally& evicted_refusals() const { return evicted_refusals_; }  // of sources that are not known any more
-    std::uint64_t evicted() const { return evicted_; }
     const std::vector<Source>& all() const { return all_; }
 
 private:
@@ -67,7 +66,6 @@
     const std::uint64_t seed_;
     std::size_t known_ = 0;
     Tally evicted_refusals_{};
-    std::uint64_t evicted_ = 0;
 };
 
 }  // namespace cressledge::admission
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -33,7 +33,7 @@
 
 // One call to one server.
 struct Upstream::Attempt final : net::Stream::Owner {
-    Attempt(Upstream& up, Job& of, No to, bool second) : upstream(up), job(of), server(to), hedge(second) {}
+    Attempt(Upstream& up, Job& of, No to) : upstream(up), job(of), server(to) {}
     ~Attempt() override;
     void on_open() override;
     void on_bytes(std::string_view bytes) override;
@@ -44,7 +44,6 @@
     Upstream& upstream;
     Job& job;
     const No server;
-    const bool hedge;
     net::Stream* stream = nullptr;
     std::unique_ptr<Reader> reader;
     core::Time since{0}, born{0};
@@ -319,10 +318,10 @@
     jobs_[work.no] = std::move(made);
     budget_.first_try();
     ++counts_.requests;
-    attempt(job, false);
+    attempt(job);
 }
 
-void Upstream::attempt(Job& job, bool hedge) {
+void Upstream::attempt(Job& job) {
     const core::Time now = clock_.unix_now();
     const No no = balancer_.pick(now, job.key, job.tried, random_);
     if (no == nobody) {
@@ -332,7 +331,7 @@
             spdlog::warn("upstream: no server took {}; {} more like it", job.name, passed);
         return over(job.no, core::End::fail, {});
     }
-    auto made = std::make_unique<Attempt>(*this, job, no, hedge);
+    auto made = std::make_unique<Attempt>(*this, job, no);
     Attempt& a = *made;
     a.since = now;
     balancer_.started(now, no);
@@ -355,7 +354,7 @@
             job.hedge = 0;
             if (job.ending || job.attempts.size() != 1 || breaker_.open() || !budget_.take()) return;
             ++counts_.hedges;
-            attempt(job, true);
+            attempt(job);
         });
 }
 
@@ -442,15 +441,15 @@
     if (stale && !job.fresh) {
         job.fresh = true;
         job.tried.erase(std::remove(job.tried.begin(), job.tried.end(), a.server), job.tried.end());
-        return again(job, Result::refused, true, core::Span(0));
+        return again(job, Result::refused, true);
     }
     // Whether it may be repeated is the status's to say: what a server calls the caller's fault stays so.
     const bool blamed = status >= 400 && status < 500 && status != 429 && status != 408;
     if (blamed) return over(job.no, core::End::fail, std::move(a.reader->reply.body));
-    again(job, result, nothing_ran, core::Span(0));
+    again(job, result, nothing_ran);
 }
 
-void Upstream::again(Job& job, Result result, bool nothing_ran, core::Span retry_after) {
+void Upstream::again(Job& job, Result result, bool nothing_ran) {
     const core::Time now = clock_.unix_now();
     // A refused connection proves that nothing ran: the next is called at once, a write as well, and at no cost.
     const bool free = nothing_ran && result == Result::refused;
@@ -462,7 +461,8 @@
         return over(job.no, core::End::fail, {});  // at once: nothing else is going to happen
     }
     const core::Time when =
-        free ? core::Time(0) : routing::retry_at(now, job.tries, retry_after, rules_.attempts, random_);
+        // A server's Retry-After keeps calls from that server (settle); this one goes to another.
+        free ? core::Time(0) : routing::retry_at(now, job.tries, core::Span(0), rules_.attempts, random_);
     if (!free && when >= job.due) return over(job.no, core::End::fail, {});
     counts_.retries += free ? 0 : 1;
     deadlines_.cancel(job.hedge);
@@ -470,7 +470,7 @@
     job.retry = deadlines_.at(when, [this, &job] {
         job.retry = 0;
         std::erase_if(job.attempts, [](const auto& a) { return a->counted; });
-        if (!job.ending) attempt(job, false);
+        if (!job.ending) attempt(job);
     });
 }
 
@@ -489,7 +489,7 @@
     std::deque<core::RequestNo> now;
     now.swap(parked_);
     for (const core::RequestNo no : now)
-        if (const auto it = jobs_.find(no); it != jobs_.end() && !it->second->ending) attempt(*it->second, false);
+        if (const auto it = jobs_.find(no); it != jobs_.end() && !it->second->ending) attempt(*it->second);
 }
 
 // Told on the next turn: the Controller's actions come first, in their order.
--- a/src/upstream/executor.hpp
+++ b/src/upstream/executor.hpp
@@ -74,10 +74,10 @@
     struct Attempt;
     struct Spare;
     struct Probe;
-    void attempt(Job& job, bool hedge);
+    void attempt(Job& job);
     bool dial(Attempt& a);
     void settle(Attempt& a, membership::Result result, bool nothing_ran);
-    void again(Job& job, membership::Result result, bool nothing_ran, core::Span retry_after);
+    void again(Job& job, membership::Result result, bool nothing_ran);
     void over(core::RequestNo no, core::End end, std::string body);
     void park(Job& job);
     void dial_parked();
