Adopt the listening socket of NODE_ACCEPT_FD, and give it up at the notice to leave

Change: net::inherited_listener reads the variable and checks the descriptor (a number, open, a TCP socket, listening), refusing the start with one line that names it; net::Listener adopts it through net::Listening. A front with such a socket closes its copy at the notice to leave, and answers with Connection: close from then on, so that the next connection waits in the shared backlog for the next process.

--- a/src/config/node.hpp
+++ b/src/config/node.hpp
@@ -15,6 +15,7 @@
     curlewreel::Span stop{3'000'000};  // between the notice to leave and the stop
     std::size_t sockets = 1024;
     std::size_t held = 0;  // descriptors that the process holds at the start
+    int inherited = -1;  // the clients' listening socket, handed down by the platform; -1: bind `listen`
     std::vector<std::string> gauges;  // in the order in which the engine says them
     curlewreel::Settings settings;
 };
--- a/src/front/doors.cpp
+++ b/src/front/doors.cpp
@@ -18,6 +18,7 @@
     spdlog::info("notice to leave: {} requests unanswered, stop in {} ms", server_.unanswered(),
                  stop_.count() / 1000);
     server_.drain(stop);
+    for (const auto& f : fronts_) f->notice();
     deadlines_.at(std::max(now, stop - close_before), [this] {
         for (const auto& f : fronts_) f->leave();
         settle();
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -107,7 +107,8 @@
     conclude(bytes, close);
 }
 
-bool Session::closes() const { return !keep_alive() || front_.leaving_ || turned_away_; }
+// Once the socket is handed over, a caller's next request goes to the next process by a new connection.
+bool Session::closes() const { return !keep_alive() || front_.leaving_ || front_.handing_over_ || turned_away_; }
 
 void Session::interim(std::string_view bytes) {
     if (stream_ != nullptr) stream_->write(bytes);
@@ -178,10 +179,10 @@
 // ---- Front ----
 
 Front::Front(net::Loop& loop, core::Deadlines& deadlines, core::Server& server, Porter& porter,
-             const net::Address& address, const Limits& limits, Make make)
+             const net::Listening& where, const Limits& limits, Make make)
     : loop_(loop), deadlines_(deadlines), server_(server), limits_(limits), make_(std::move(make)),
-      porter_(porter), door_(porter.join(*this)),
-      listener_(loop.uv(), address, [this] { take(); }) {
+      porter_(porter), door_(porter.join(*this)), shared_(where.inherited >= 0),
+      listener_(loop.uv(), where, [this] { take(); }) {
     own_ = porter_.descriptors().take(server_.now(), admission::Purpose::listener);
 }
 
@@ -250,6 +251,13 @@
     }
 }
 
+void Front::notice() {
+    if (!shared_ || leaving_) return;
+    handing_over_ = true;
+    listener_.close();
+    own_.release();
+}
+
 void Front::leave() {
     if (leaving_) return;
     leaving_ = true;
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -74,13 +74,16 @@
         core::Span idle{0};  // a connection is let go after as long without a request; 0: the caller does it
     };
     Front(net::Loop& loop, core::Deadlines& deadlines, core::Server& server, Porter& porter,
-          const net::Address& address, const Limits& limits, Make make);
+          const net::Listening& where, const Limits& limits, Make make);
     ~Front() override;
 
     void answer(std::uint64_t ticket, const core::Answer& answer) override;
     void idle_limit(core::Span limit);
     void let_go(std::uint64_t session);  // close it: its seat is somebody else's
     void look();  // at the backlog again: there may be a descriptor for who waits there
+    // The notice to leave: a listening socket shared with the platform is given up at once, so that who comes
+    // next waits in its backlog for the next process; one of our own is kept until leave(), as nobody else has it.
+    void notice();
     void leave();  // refuse connections, close idle ones, and the others with their answer
     bool empty() const { return sessions_.size() == 0; }
     int port() const { return listener_.port(); }
@@ -102,6 +105,8 @@
     core::Slots<Session> sessions_;
     core::Span idle_{0};
     bool leaving_ = false;
+    const bool shared_;  // the listening socket is the platform's
+    bool handing_over_ = false;  // and this process has given it up
     admission::Descriptors::Lease own_;  // of the listener
     net::Listener listener_;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -38,6 +38,7 @@
     loop.on_signal(SIGHUP, [&] { node->reload(path); });
     config::Node settings = config::load_node(path);
     settings.held = cressledge::net::open_descriptors();
+    settings.inherited = cressledge::net::inherited_listener("NODE_ACCEPT_FD");
     node.emplace(loop, deadlines, settings);
     node->start();
     loop.run();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,10 +2,12 @@
 
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <charconv>
+#include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <stdexcept>
@@ -193,17 +195,52 @@
     return n > 0 ? n - 1 : 0;  // the one that reads the list
 }
 
-Listener::Listener(uv_loop_t* loop, const Address& address, std::function<void()> ready)
-    : ready_(std::move(ready)) {
+int inherited_listener(const char* variable) {
+    const char* text = std::getenv(variable);
+    if (text == nullptr) return -1;
+    const auto refuse = [&](const std::string& why) {
+        throw std::runtime_error(std::string(variable) + "=" + text + ": " + why);
+    };
+    int fd = -1;
+    const char* end = text + std::strlen(text);
+    if (const auto [stop, error] = std::from_chars(text, end, fd); error != std::errc() || stop != end || fd < 0)
+        refuse("not a descriptor number");
+    int type = 0, listening = 0;
+    sockaddr_storage name{};
+    socklen_t length = sizeof type, listening_length = sizeof listening, name_length = sizeof name;
+    if (::getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length) != 0)
+        refuse(errno == EBADF ? "no such descriptor" : "not a socket");
+    if (type != SOCK_STREAM || ::getsockname(fd, reinterpret_cast<sockaddr*>(&name), &name_length) != 0 ||
+        (name.ss_family != AF_INET && name.ss_family != AF_INET6))
+        refuse("not a TCP socket");
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &listening_length) != 0 || listening == 0)
+        refuse("not listening");
+    // Guards the loop against an accept that blocks, and a program started from here against the socket.
+    const int flags = ::fcntl(fd, F_GETFL);
+    if (flags < 0 || ::fcntl(fd, F_SETFL, flags | O_NONBLOCK) != 0 || ::fcntl(fd, F_SETFD, FD_CLOEXEC) != 0)
+        refuse(std::strerror(errno));
+    return fd;
+}
+
+namespace {
+int bound(const Address& address) {
     const int on = 1, family = address.raw.ss_family;
     const socklen_t length = family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
-    fd_ = ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd_ < 0 || ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        ::bind(fd_, reinterpret_cast<const sockaddr*>(&address.raw), length) != 0 || ::listen(fd_, 511) != 0) {
+    const int fd = ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0 || ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        ::bind(fd, reinterpret_cast<const sockaddr*>(&address.raw), length) != 0 || ::listen(fd, 511) != 0) {
         const std::string why = uv_strerror(uv_translate_sys_error(errno));
-        if (fd_ >= 0) ::close(fd_);
+        if (fd >= 0) ::close(fd);
         throw std::runtime_error("cannot listen: " + why);
     }
+    return fd;
+}
+}  // namespace
+
+Listener::Listener(uv_loop_t* loop, const Address& address, std::function<void()> ready)
+    : Listener(loop, Listening{address, -1}, std::move(ready)) {}
+Listener::Listener(uv_loop_t* loop, const Listening& where, std::function<void()> ready)
+    : fd_(where.inherited >= 0 ? where.inherited : bound(where.address)), ready_(std::move(ready)) {
     poll_ = new uv_poll_t;
     uv_poll_init(loop, poll_, fd_);
     poll_->data = this;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -72,8 +72,11 @@
 // when there is no descriptor for it, and tells nobody; here it stays there until somebody accepts.
 class Listener {
 public:
-    // `ready` may accept, and is called again on the next turn while somebody waits.
+    // `ready` may accept, and is called again on the next turn while somebody waits. Throws std::runtime_error
+    // when the address cannot be listened on.
     Listener(uv_loop_t* loop, const Address& address, std::function<void()> ready);
+    // Or adopts a listening socket that this process inherited (see inherited_listener); close() closes this copy.
+    Listener(uv_loop_t* loop, const struct Listening& where, std::function<void()> ready);
     ~Listener();
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
@@ -89,6 +92,17 @@
     std::function<void()> ready_;
 };
 
+// Where clients connect: the address to bind, or a listening socket handed down; `inherited` >= 0 goes first.
+struct Listening {
+    Address address;
+    int inherited = -1;
+};
+
+// The listening socket named by the environment variable `variable` (the platform's NODE_ACCEPT_FD), made
+// non-blocking and closed on exec. -1: the variable is unset. Throws std::runtime_error, naming the variable,
+// when it is not a whole number, or the descriptor is closed, no TCP socket over IPv4 or IPv6, or not listening.
+int inherited_listener(const char* variable);
+
 std::size_t descriptor_limit();  // of this process, as the system has it
 std::size_t open_descriptors();  // of this process, counted in the system's own list; 0: it has none
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -52,7 +52,7 @@
     // Callers close what has rested that long; those that never do are let go a little later.
     if (c.settings.idle > core::Span(0)) limits.idle = c.settings.idle + core::Span(1'000'000);
     doors_.add(std::make_unique<front::Front>(
-        loop, deadlines, server_, porter_, address("listen", c.listen), limits,
+        loop, deadlines, server_, porter_, net::Listening{address("listen", c.listen), c.inherited}, limits,
         [](front::Front& f) { return std::make_unique<front::http::HttpSession>(f); }));
     server_.attach(engine_, records_, *this);
 }
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -71,7 +71,7 @@
     const auto open = [&](const std::string& where, bool scgi) {
         if (where.empty()) return 0;
         doors_.add(std::make_unique<front::Front>(
-            loop, deadlines, server_, porter_, *net::Address::parse(where), limits,
+            loop, deadlines, server_, porter_, net::Listening{*net::Address::parse(where)}, limits,
             [this, scgi](front::Front& f) -> std::unique_ptr<front::Session> {
                 if (scgi) return std::make_unique<front::scgi::ScgiSession>(f, supply_);
                 return std::make_unique<front::http::HttpSession>(f, &supply_);
