Answer readyz and metrics on the control address, with figures counted where they happen

Change: front/control, a thin front on the address of NODE_CONTROL or 'control': 32 numbered slots, the oldest closed for a newcomer, a whole call within 2 s, 4 KiB of head, one answer and a close. Ready is the engine's hello without a notice to leave. core::Server counts ok, shed, errors and tries by class name and the requests in hand; platform::Node counts files taken and turned down at SIGHUP; a descriptor part of its own for the control address.

--- a/src/admission/descriptors.hpp
+++ b/src/admission/descriptors.hpp
@@ -14,8 +14,8 @@
 
 namespace cressledge::admission {
 
-enum class Purpose : std::uint8_t { listener, link, records, upstream, file, front };
-constexpr std::size_t purposes = 6;
+enum class Purpose : std::uint8_t { listener, link, records, upstream, file, front, control };
+constexpr std::size_t purposes = 7;
 const char* word(Purpose purpose);
 
 class Descriptors {
@@ -99,7 +99,8 @@
 // What an installation wants at most of each; guarantees are made of it.
 struct Needs {
     std::size_t listeners = 0, links = 0, records = 0, upstream = 0, lobby = 0, reserve = 0,
-                files = 0;  // kept open
+                files = 0,  // kept open
+                control = 0;  // the control address: its listener and connections
     std::size_t upstream_least = 4;  // guaranteed of `upstream`
 };
 struct Plan {
--- a/src/config/node.cpp
+++ b/src/config/node.cpp
@@ -32,6 +32,7 @@
     n.engine = text("engine");
     n.lookup = text("lookup");
     n.records = text("records");
+    if (doc.contains("control") && !doc["control"].is_null()) n.control = text("control");
     const std::string seed = text("seed");
     if (std::from_chars(seed.data(), seed.data() + seed.size(), n.seed, 16).ptr != seed.data() + seed.size())
         throw Invalid("seed: not hexadecimal");
--- a/src/config/node.hpp
+++ b/src/config/node.hpp
@@ -11,6 +11,7 @@
 
 struct Node {
     std::string name, listen, engine, lookup, records;
+    std::string control;  // the control address; empty: none
     std::uint64_t seed = 0;
     curlewreel::Span stop{3'000'000};  // between the notice to leave and the stop
     std::size_t sockets = 1024;
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -68,7 +68,7 @@
         if (unseen_.may(clock_.unix_now(), passed))
             spdlog::warn("refused unseen: {}; {} more like it",
                          started_ ? "the table of requests is full" : "engine not up yet", passed);
-        turn_away(responder, ticket, settings_.max_retry_after);
+        turn_away(responder, ticket, settings_.max_retry_after, arrival.kind);
         return 0;
     }
     ++counts_.read;
@@ -76,6 +76,7 @@
         // Guards a request against another under its id: engine and records service know them by it, and the
         // outcome of one would go to the other.
         ++counts_.failed;
+        ++of_class(arrival.kind).errors;
         responder.answer(ticket, Answer{Verdict::malformed, {}, Span(0), false});
         return 0;
     }
@@ -108,9 +109,15 @@
     return entries_.find(no) != nullptr ? no : 0;
 }
 
-void Server::turn_away(Responder& responder, std::uint64_t ticket, Span hold_off) {
+Server::ClassCounts& Server::of_class(std::size_t kind) {
+    static const std::string none = "unknown";
+    return by_class_[kind < settings_.classes.size() ? settings_.classes[kind].name : none];
+}
+
+void Server::turn_away(Responder& responder, std::uint64_t ticket, Span hold_off, std::size_t kind) {
     ++counts_.read;
     ++counts_.refused;
+    ++of_class(kind).shed;
     ++counts_.turned_away;
     responder.answer(ticket, Answer{Verdict::refused, {}, hold_off, false});
 }
@@ -227,6 +234,8 @@
     ++(a.verdict == Verdict::served    ? counts_.served
        : a.verdict == Verdict::refused ? counts_.refused
                                        : counts_.failed);
+    ClassCounts& c = of_class(e.arrival.kind);
+    ++(a.verdict == Verdict::served ? c.ok : a.verdict == Verdict::refused ? c.shed : c.errors);
     e.responder->answer(e.ticket, a);
 }
 
@@ -258,6 +267,7 @@
     e->state = State::running;
     e->ran = true;
     ++counts_.runs;
+    ++of_class(e->arrival.kind).tries;
     const Arrival& r = e->arrival;
     executor_->run({a.id, r.name, settings_.classes[r.kind].name, r.body, r.held_kb, r.accepted, e->due, r.key});
 }
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -96,7 +97,8 @@
     // The answer may come before this returns. 0: the table is full, and the request has been refused.
     RequestNo arrive(Arrival arrival, Responder& responder, std::uint64_t ticket);
     // Refuses a whole request that the Controller does not see: a bound of the program itself stands against it.
-    void turn_away(Responder& responder, std::uint64_t ticket, Span hold_off);
+    // `kind`: its class, or curlewreel::unknown.
+    void turn_away(Responder& responder, std::uint64_t ticket, Span hold_off, std::size_t kind);
     void gone(RequestNo no);  // the caller no longer waits
     void drain(Time stop);
     void check(bool deep, std::function<void(bool)> reply);
@@ -120,6 +122,11 @@
         std::uint64_t turned_away = 0;  // of the refused: those that the Controller has not seen
     };
     const Counts& counts() const { return counts_; }
+    // Of each class by its name, from 0 at the start: served, refused, failed, and runs handed to the executor.
+    struct ClassCounts {
+        std::uint64_t ok = 0, shed = 0, errors = 0, tries = 0;
+    };
+    const std::map<std::string, ClassCounts>& by_class() const { return by_class_; }
 
 private:
     enum class State { held, running, paused, at_call, calling, reusing, over };
@@ -205,6 +212,8 @@
     Time last_{0}, stop_at_{0};
     bool busy_ = false, started_ = false, draining_ = false, good_ = true, stored_ = true;
     Counts counts_;
+    std::map<std::string, ClassCounts> by_class_;
+    ClassCounts& of_class(std::size_t kind);
     Quiet unseen_;
 };
 
--- /dev/null
+++ b/src/front/control/control.cpp
@@ -0,0 +1,147 @@
+#include "front/control/control.hpp"
+
+#include <http_parser.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace cressledge::front::control {
+namespace {
+
+std::string message(const char* status, const std::string& body) {
+    return std::string("HTTP/1.1 ") + status + "\r\nContent-Type: text/plain\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
+}
+
+}  // namespace
+
+class Control::Call final : public net::Stream::Owner {
+public:
+    explicit Call(Control& control) : control_(control) {
+        http_parser_init(&parser_, HTTP_REQUEST);
+        parser_.data = this;
+        http_parser_settings_init(&hooks_);
+        hooks_.on_url = [](http_parser* p, const char* at, std::size_t n) {
+            Call& me = *static_cast<Call*>(p->data);
+            me.url_.append(at, std::min(n, most_head));
+            return me.grow(n);
+        };
+        hooks_.on_header_field = [](http_parser* p, const char*, std::size_t n) {
+            return static_cast<Call*>(p->data)->grow(n);
+        };
+        hooks_.on_header_value = hooks_.on_header_field;
+        hooks_.on_message_complete = [](http_parser* p) {
+            static_cast<Call*>(p->data)->whole_ = true;
+            http_parser_pause(p, 1);  // one call a connection: what follows is not read
+            return 0;
+        };
+    }
+    ~Call() override {
+        control_.deadlines_.cancel(deadline_);
+        if (stream_ != nullptr) std::exchange(stream_, nullptr)->close();
+    }
+    void on_bytes(std::string_view bytes) override {
+        if (done_) return;
+        http_parser_execute(&parser_, &hooks_, bytes.data(), bytes.size());
+        if (whole_) return control_.answer(*this);
+        if (too_long_) return reply("431 Request Header Fields Too Large", "too long\n");
+        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) reply("400 Bad Request", "bad call\n");
+    }
+    bool on_eof() override {
+        // Guards the table against a caller that ends without a whole call: nothing more can make it whole.
+        if (!done_) reply("400 Bad Request", "cut short\n");
+        return true;
+    }
+    void on_end(bool) override {
+        stream_ = nullptr;
+        control_.end(no_);
+    }
+    void reply(const char* status, const std::string& body) {
+        if (done_ || stream_ == nullptr) return;
+        done_ = true;
+        stream_->write(message(status, body));
+        stream_->finish();
+        control_.deadlines_.cancel(deadline_);
+        deadline_ = control_.deadlines_.at(control_.loop_.unix_now() + linger,
+                                           [c = &control_, no = no_] { c->end(no); });
+    }
+    int grow(std::size_t n) {
+        head_ += n;
+        too_long_ = head_ > most_head;
+        return too_long_ ? 1 : 0;
+    }
+
+    Control& control_;
+    core::SlotNo no_ = 0;
+    net::Stream* stream_ = nullptr;
+    core::Deadlines::Handle deadline_ = 0;
+    http_parser parser_{};
+    http_parser_settings hooks_{};
+    std::string url_;
+    std::size_t head_ = 0;
+    bool whole_ = false, too_long_ = false, done_ = false;
+};
+
+Control::Control(net::Loop& loop, core::Deadlines& deadlines, admission::Descriptors& descriptors,
+                 const net::Address& address, Source& source)
+    : loop_(loop), deadlines_(deadlines), descriptors_(descriptors), source_(source),
+      own_(descriptors.take(loop.unix_now(), admission::Purpose::control)),
+      listener_(loop.uv(), address, [this] { take(); }) {}
+
+Control::~Control() {
+    for (const core::SlotNo no : calls_.numbers()) calls_.erase(no);
+}
+
+void Control::take() {
+    for (std::size_t n = 0; n < most; ++n) {
+        if (calls_.size() >= most) {
+            // Guards readiness against callers that hold connections open: the oldest goes for the newcomer.
+            const core::SlotNo oldest = order_.front();
+            ++crowded_out_;
+            end(oldest);
+        }
+        auto lease = descriptors_.take(loop_.unix_now(), admission::Purpose::control);
+        if (!lease) return;  // the backlog keeps who comes until a call has ended
+        auto made = std::make_unique<Call>(*this);
+        Call* call = made.get();
+        const core::SlotNo mine = calls_.add(std::move(made));
+        call->no_ = mine;
+        int bad = 0;
+        call->stream_ = net::Stream::accept(listener_, *call, std::move(lease), &bad);
+        if (call->stream_ == nullptr) {
+            calls_.erase(mine);
+            if (bad != UV_EAGAIN) spdlog::warn("control: accept: {}", uv_strerror(bad));
+            return;
+        }
+        order_.push_back(mine);
+        call->deadline_ = deadlines_.at(loop_.unix_now() + whole, [this, mine] {
+            if (Call* c = calls_.find(mine); c != nullptr) c->deadline_ = 0;
+            end(mine);
+        });
+    }
+}
+
+void Control::answer(Call& call) {
+    std::string path = call.url_.substr(0, call.url_.find('?'));
+    const bool get = call.parser_.method == HTTP_GET;
+    if (path != "/v1/readyz" && path != "/v1/metrics") return call.reply("404 Not Found", "no such call\n");
+    if (!get) return call.reply("405 Method Not Allowed", "GET only\n");
+    ++answered_;
+    if (path == "/v1/readyz") {
+        if (source_.ready()) return call.reply("200 OK", "ready\n");
+        return call.reply("503 Service Unavailable", "not ready\n");
+    }
+    std::vector<std::pair<std::string, std::uint64_t>> figures;
+    source_.figures(figures);
+    std::string body;
+    for (const auto& [name, value] : figures) body.append(name).append("=").append(std::to_string(value)).append("\n");
+    call.reply("200 OK", body);
+}
+
+void Control::end(core::SlotNo no) {
+    if (calls_.find(no) == nullptr) return;
+    order_.erase(std::find(order_.begin(), order_.end(), no));
+    calls_.erase(no);
+}
+
+}  // namespace cressledge::front::control
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -78,7 +78,7 @@
 }
 
 void Session::submit(core::Arrival arrival) {
-    if (!admitted()) return front_.server_.turn_away(front_, no_, hold_off_);
+    if (!admitted()) return front_.server_.turn_away(front_, no_, hold_off_, arrival.kind);
     const core::RequestNo no = front_.server_.arrive(std::move(arrival), front_, no_);
     if (busy_) request_ = no;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -39,6 +39,8 @@
     config::Node settings = config::load_node(path);
     settings.held = cressledge::net::open_descriptors();
     settings.inherited = cressledge::net::inherited_listener("NODE_ACCEPT_FD");
+    if (const char* control = std::getenv("NODE_CONTROL"); control != nullptr && *control != '\0')
+        settings.control = control;
     node.emplace(loop, deadlines, settings);
     node->start();
     loop.run();
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -35,6 +35,7 @@
     needs.links = 2;
     needs.records = records_of(c);
     needs.lobby = lobby;
+    needs.control = c.control.empty() ? 0 : front::control::Control::most + 1;
     return admission::plan(c.sockets, c.held, needs, static_cast<std::uint32_t>(c.sockets * 3 / 4));
 }
 
@@ -55,6 +56,27 @@
         loop, deadlines, server_, porter_, net::Listening{address("listen", c.listen), c.inherited}, limits,
         [](front::Front& f) { return std::make_unique<front::http::HttpSession>(f); }));
     server_.attach(engine_, records_, *this);
+    if (!c.control.empty())
+        control_.emplace(loop, deadlines, descriptors_, address("control", c.control), *this);
+}
+
+bool Node::ready() { return server_.started() && !server_.draining(); }
+
+void Node::figures(std::vector<std::pair<std::string, std::uint64_t>>& out) {
+    const auto& by_class = server_.by_class();
+    const auto add = [&](const std::string& name, const core::Server::ClassCounts& n) {
+        const std::string at = "node.responses." + name + '.';
+        out.emplace_back(at + "ok", n.ok);
+        out.emplace_back(at + "shed", n.shed);
+        out.emplace_back(at + "errors", n.errors);
+        out.emplace_back(at + "tries", n.tries);
+    };
+    for (const auto& c : server_.settings().classes)
+        if (by_class.count(c.name) == 0) add(c.name, {});
+    for (const auto& [name, n] : by_class) add(name, n);
+    out.emplace_back("node.active", server_.unanswered());
+    out.emplace_back("node.config_applied", applied_);
+    out.emplace_back("node.config_rejected", rejected_);
 }
 
 void Node::start() {
@@ -80,7 +102,9 @@
         engine_.move(engine);
         records_.move(records);
         directory_.move(lookup);
+        ++applied_;
     } catch (const std::exception& e) {
+        ++rejected_;
         spdlog::error("configuration: the old one stays in force: {}", e.what());
     }
 }
--- a/src/platform/node.hpp
+++ b/src/platform/node.hpp
@@ -1,8 +1,11 @@
 // One server on the platform: the HTTP front, the engine, the records service and the directory round the core.
 #pragma once
 
+#include <optional>
+
 #include "config/node.hpp"
 #include "core/server.hpp"
+#include "front/control/control.hpp"
 #include "front/doors.hpp"
 #include "front/porter.hpp"
 #include "platform/directory.hpp"
@@ -11,7 +14,7 @@
 
 namespace cressledge::platform {
 
-class Node final : public core::Surroundings {
+class Node final : public core::Surroundings, public front::control::Source {
 public:
     Node(net::Loop& loop, core::Deadlines& deadlines, const config::Node& config);
     void start();
@@ -19,6 +22,9 @@
     void reload(const std::string& path);  // new addresses of the peers; a bad file leaves all as it is
     void idle_limit(core::Span limit) override { doors_.idle_limit(limit); }
     int port() { return doors_.last().port(); }
+    int control_port() const { return control_ ? control_->port() : 0; }
+    bool ready() override;
+    void figures(std::vector<std::pair<std::string, std::uint64_t>>& out) override;
 
 private:
     const config::Node config_;  // as at the start
@@ -31,6 +37,8 @@
     Engine engine_;
     RecordsClient records_;
     Directory directory_;
+    std::optional<front::control::Control> control_;
+    std::uint64_t applied_ = 0, rejected_ = 0;  // files taken and turned down at SIGHUP
 };
 
 }  // namespace cressledge::platform
