--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -12,7 +12,7 @@
     std::unique_ptr<platform::Node> node;
     int tries = 0;
 
-    explicit Site(Span stop = Span(3'000'000), bool up = true) {
+    explicit Site(Span stop = Span(3'000'000), bool up = true, bool control = false) {
         curlewreel::Settings s = settings();
         config::Node c;
         c.name = "n3";
@@ -22,6 +22,10 @@
         c.lookup = lookup.address();
         c.stop = stop;
         c.sockets = 21;  // twelve connections
+        if (control) {  // and 33 descriptors more for the control address
+            c.control = "127.0.0.1:0";
+            c.sockets = 64;
+        }
         c.gauges = {"cpu_busy", "runnable", "mem_used", "sockets"};
         s.classes[0].calls = s.classes[2].calls = true;
         s.below = curlewreel::Below::shared;
@@ -56,6 +60,18 @@
                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     std::unique_ptr<Peer> caller() { return dial(w, node->port()); }
+    std::string control(const std::string& path) {  // the whole answer of the control address
+        auto p = dial(w, node->control_port());
+        p->send("GET " + path + " HTTP/1.1\r\nHost: n3\r\n\r\n");
+        w.until([&] { return p->ended; });
+        return p->got;
+    }
+    std::string figure(const std::string& name) {
+        const std::string all = control("/v1/metrics"), at = "\n" + name + '=';
+        const std::size_t from = all.find(at);
+        if (from == std::string::npos) return "absent";
+        return all.substr(from + at.size(), all.find('\n', from + at.size()) - from - at.size());
+    }
     // Asks, and sees the run come to the engine. The request's id.
     std::string ask(Peer& caller, const std::string& kind, const std::string& body) {
         caller.send(request(kind, body));
@@ -465,3 +481,52 @@
 }
 
 }  // namespace
+
+TEST_CASE("the control address counts a scripted load as the callers saw it, and says when it can serve") {
+    Site s(Span(3'000'000), false, true);
+    CHECK(s.control("/v1/readyz").rfind("HTTP/1.1 503 ", 0) == 0);  // no hello from the engine yet
+    auto early = s.caller();
+    early->send(s.request("trail-sheet", "too soon"));
+    s.get(*early, "HTTP/1.1 503");
+    s.hello();
+    CHECK(s.control("/v1/readyz").rfind("HTTP/1.1 200 OK", 0) == 0);
+    auto c = s.caller();
+    const std::string one = s.ask(*c, "trail-sheet", "a");
+    CHECK(s.figure("node.active") == "1");
+    CHECK(s.figure("node.responses.trail-sheet.tries") == "1");
+    s.engine.last().send("DONE 1 " + one + " PASS 1 1\r\nx\r\n");
+    s.get(*c, "HTTP/1.1 200");
+    c->take("\r\n\r\nx");
+    const std::string two = s.ask(*c, "trail-sheet", "b");
+    s.engine.last().send("DONE 2 " + two + " FAIL 1 0\r\n\r\n");
+    s.get(*c, "HTTP/1.1 500");
+    c->take("HTTP/1.1 500");
+    const std::string three = s.ask(*c, "route-profile", "c");
+    s.engine.last().send("DONE 3 " + three + " PASS 1 1\r\ny\r\n");
+    s.get(*c, "\r\n\r\ny");
+    CHECK(s.figure("node.responses.trail-sheet.ok") == "1");
+    CHECK(s.figure("node.responses.trail-sheet.errors") == "1");
+    CHECK(s.figure("node.responses.trail-sheet.shed") == "1");
+    CHECK(s.figure("node.responses.trail-sheet.tries") == "2");
+    CHECK(s.figure("node.responses.route-profile.ok") == "1");
+    CHECK(s.figure("node.responses.map-order.ok") == "0");
+    CHECK(s.figure("node.active") == "0");
+    CHECK(s.figure("node.config_applied") == "0");
+    s.node->leave();
+    CHECK(s.control("/v1/readyz").rfind("HTTP/1.1 503 ", 0) == 0);
+}
+
+TEST_CASE("the control address answers within a second while every caller's connection is taken") {
+    Site s(Span(3'000'000), true, true);
+    std::vector<std::unique_ptr<Peer>> callers;
+    for (int n = 0; n < 80; ++n) {  // more than the table holds, each with a request that the engine holds
+        callers.push_back(s.caller());
+        if (callers.back()->open) callers.back()->send(s.request("trail-sheet", "held"));
+    }
+    s.w.until([&] { return s.figure("node.active") != "0"; });
+    for (int n = 0; n < 5; ++n) {
+        const Time from = wall();
+        CHECK(s.control("/v1/readyz").rfind("HTTP/1.1 200 OK", 0) == 0);
+        CHECK(wall() - from < Span(1'000'000));
+    }
+}
