--- a/src/platform/node.hpp
+++ b/src/platform/node.hpp
@@ -22,6 +22,7 @@
     void reload(const std::string& path);  // new addresses of the peers; a bad file leaves all as it is
     void idle_limit(core::Span limit) override { doors_.idle_limit(limit); }
     int port() { return doors_.last().port(); }
+    std::size_t generations() const { return server_.generations(); }
     int control_port() const { return control_ ? control_->port() : 0; }
     bool ready() override;
     void figures(std::vector<std::pair<std::string, std::uint64_t>>& out) override;
--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -1,4 +1,7 @@
 // Stories of one server on the platform: callers, engine, records service and directory are scripted peers.
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "platform/node.hpp"
 #include "support.hpp"
 
@@ -12,7 +15,7 @@
     std::unique_ptr<platform::Node> node;
     int tries = 0;
 
-    explicit Site(Span stop = Span(3'000'000), bool up = true, bool control = false) {
+    explicit Site(Span stop = Span(3'000'000), bool up = true, bool control = false, int inherited = -1) {
         curlewreel::Settings s = settings();
         config::Node c;
         c.name = "n3";
@@ -27,6 +30,7 @@
             c.sockets = 64;
         }
         c.gauges = {"cpu_busy", "runnable", "mem_used", "sockets"};
+        c.inherited = inherited;
         s.classes[0].calls = s.classes[2].calls = true;
         s.below = curlewreel::Below::shared;
         s.calls_share = 5.0;
@@ -530,3 +534,138 @@
         CHECK(wall() - from < Span(1'000'000));
     }
 }
+
+TEST_CASE("a retune takes new classes for new requests, open ones keep theirs, and a bad file changes nothing") {
+    Site s(Span(3'000'000), true, true);
+    Folder f;
+    const auto file = [&](const std::string& name, const std::string& classes) {
+        return f.write(name, R"({"name":"n3","seed":"7","stop_ms":3000,"listen":"127.0.0.1:0","engine":")" +
+                                 s.engine.address() + R"(","records":")" + s.records.address() + R"(","lookup":")" +
+                                 s.lookup.address() + R"(","settings":{"classes":[)" + classes +
+                                 R"(],"domain":{"cores":4,"memory-kb":80000}}})");
+    };
+    auto c = s.caller(), d = s.caller();
+    const std::string open = s.ask(*c, "map-order", "before");  // runs across the retune
+    const std::string retuned = file("a.json", R"({"name":"map-order","effect":"single_shot","deadline":12000},
+        {"name":"trail-sheet-ii","effect":"free","deadline":4000,"importance":3})");
+    s.node->reload(retuned);
+    CHECK(s.node->generations() == 2);
+    CHECK(s.figure("node.config_applied") == "1");
+    const std::string fresh = s.ask(*d, "trail-sheet-ii", "new");  // RUN names the new class
+    s.engine.last().send("DONE 1 " + fresh + " PASS 1 1\r\nn\r\n");
+    s.get(*d, "\r\n\r\nn");
+    d->take("\r\n\r\nn");
+    s.engine.last().send("DONE 2 " + open + " PASS 1 1\r\no\r\n");  // its old generation answers it
+    s.get(*c, "\r\n\r\no");
+    s.w.until([&] { return s.node->generations() == 1; });  // the old one goes once nothing is open there
+    CHECK(s.figure("node.responses.trail-sheet-ii.ok") == "1");
+    CHECK(s.figure("node.responses.map-order.ok") == "1");
+
+    // Dropped: a class of the old file only is unknown now.
+    d->send(s.request("route-profile", "gone"));
+    s.get(*d, "HTTP/1.1 404");
+    d->take("HTTP/1.1 404");
+
+    for (const std::string& bad :
+         {file("b.json", R"({"name":"x","deadline":0})"), file("c.json", R"({"name":"x","deadline":"soon"})"),
+          file("d.json", R"({"name":"x"})"), f.write("e.json", ""), f.write("g.json", "{\"name\":\"n3\",\"se")}) {
+        logged();
+        s.node->reload(bad);
+        CHECK(logged().find("configuration: the old one stays in force: ") != std::string::npos);
+    }
+    CHECK(s.figure("node.config_rejected") == "5");
+    CHECK(s.figure("node.config_applied") == "1");
+    CHECK(s.node->generations() == 1);
+    auto e = s.caller();
+    const std::string still = s.ask(*e, "trail-sheet-ii", "still");  // the last good one is in force
+    s.engine.last().send("DONE 3 " + still + " PASS 1 1\r\ns\r\n");
+    s.get(*e, "\r\n\r\ns");
+}
+
+TEST_CASE("a new version takes over the shared listening socket: nothing read is lost or answered twice") {
+    const int platform = ::socket(AF_INET, SOCK_STREAM, 0);
+    const net::Address any = at(0);
+    REQUIRE(::bind(platform, reinterpret_cast<const sockaddr*>(&any.raw), sizeof(sockaddr_in)) == 0);
+    REQUIRE(::listen(platform, 128) == 0);
+    Site old(Span(3'000'000), true, true, ::dup(platform));
+    const int port = old.node->port();
+    const auto answers = [](const Peer& p) {
+        std::size_t n = 0;
+        for (std::size_t at = p.got.find("HTTP/1.1 "); at != std::string::npos; at = p.got.find("HTTP/1.1 ", at + 1)) ++n;
+        return n;
+    };
+    std::vector<std::unique_ptr<Peer>> before;
+    std::vector<std::string> names;
+    for (int n = 0; n < 6; ++n) {
+        before.push_back(old.caller());
+        names.push_back(old.ask(*before.back(), "route-profile", "b" + std::to_string(n)));
+    }
+
+    // The new process on the same socket, with links of its own.
+    Standing engine(old.w.loop), records(old.w.loop), lookup(old.w.loop);
+    config::Node c;
+    c.name = "n3";
+    c.listen = "127.0.0.1:0";
+    c.engine = engine.address();
+    c.records = records.address();
+    c.lookup = lookup.address();
+    c.sockets = 64;
+    c.control = "127.0.0.1:0";
+    c.inherited = ::dup(platform);
+    c.settings = settings();
+    platform::Node next(old.w.loop, old.w.deadlines, c);
+    next.start();
+    old.w.until([&] { return engine.has("ATTACH 0\r\n"); });
+    engine.last().send("HELLO LOADED 5\r\n");
+    old.w.until([&] { return engine.has("STAT s"); });
+    engine.last().take("STAT ");
+    old.w.until([&] { return engine.has("\r\n"); });
+    engine.last().send("STATS " + Site::word(engine.last().take("\r\n"), 0) + " 0.1 0 0.1 3\r\n");
+    old.w.until([&] { return next.ready(); });
+
+    // A caller whose connection is in the backlog, unaccepted, at the notice to leave.
+    const int waiting = ::socket(AF_INET, SOCK_STREAM, 0);
+    const net::Address there = at(port);
+    REQUIRE(::connect(waiting, reinterpret_cast<const sockaddr*>(&there.raw), sizeof(sockaddr_in)) == 0);
+    const std::string asked = old.request("route-profile", "queued");
+    REQUIRE(::write(waiting, asked.data(), asked.size()) == static_cast<ssize_t>(asked.size()));
+    old.node->leave();
+    CHECK_FALSE(old.node->ready());
+    const std::string queued = Site::id(old.tries);
+    old.w.until([&] { return engine.has("RUN " + queued); });  // the new process took it up
+    CHECK_FALSE(old.engine.has("RUN " + queued));
+
+    // What the old one read, it answers, each once, and closes.
+    for (std::size_t n = 0; n < names.size(); ++n)
+        old.engine.last().send("DONE " + std::to_string(n + 1) + ' ' + names[n] + " PASS 1 1\r\nx\r\n");
+    for (auto& p : before) {
+        old.w.until([&] { return p->ended; });
+        CHECK(answers(*p) == 1);
+        CHECK(p->has("Connection: close\r\n"));
+    }
+    // New callers come to the new process only.
+    std::vector<std::unique_ptr<Peer>> after;
+    for (int n = 0; n < 6; ++n) {
+        after.push_back(dial(old.w, port));
+        after.back()->send(old.request("route-profile", "a" + std::to_string(n)));
+        const std::string name = Site::id(old.tries);
+        old.w.until([&] { return engine.has("RUN " + name); });
+        engine.last().send("DONE " + std::to_string(n + 2) + ' ' + name + " PASS 1 1\r\ny\r\n");
+        old.w.until([&] { return after.back()->has("\r\n\r\ny"); });
+        CHECK(answers(*after.back()) == 1);
+        CHECK_FALSE(old.engine.has("RUN " + name));
+    }
+    engine.last().send("DONE 8 " + queued + " PASS 1 1\r\nq\r\n");
+    std::string got;
+    char buffer[4096];
+    const Time end = wall() + Span(5'000'000);
+    while (got.find("\r\n\r\nq") == std::string::npos && wall() < end) {
+        old.w.loop.turn(false);
+        const ssize_t n = ::recv(waiting, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (n > 0) got.append(buffer, static_cast<std::size_t>(n));
+        if (n == 0) break;
+    }
+    CHECK(got.rfind("HTTP/1.1 200", 0) == 0);
+    ::close(waiting);
+    ::close(platform);
+}
