--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -15,14 +15,20 @@
     std::unique_ptr<platform::Node> node;
     int tries = 0;
 
-    explicit Site(Span stop = Span(3'000'000), bool up = true, bool control = false, int inherited = -1) {
-        curlewreel::Settings s = settings();
+    // A node's configuration with these peers.
+    static config::Node configuration(const Standing& engine, const Standing& records, const Standing& lookup) {
         config::Node c;
         c.name = "n3";
         c.listen = "127.0.0.1:0";
         c.engine = engine.address();
         c.records = records.address();
         c.lookup = lookup.address();
+        c.settings = settings();
+        return c;
+    }
+    explicit Site(Span stop = Span(3'000'000), bool up = true, bool control = false, int inherited = -1) {
+        curlewreel::Settings s = settings();
+        config::Node c = configuration(engine, records, lookup);
         c.stop = stop;
         c.sockets = 21;  // twelve connections
         if (control) {  // and 33 descriptors more for the control address
@@ -603,16 +609,10 @@
 
     // The new process on the same socket, with links of its own.
     Standing engine(old.w.loop), records(old.w.loop), lookup(old.w.loop);
-    config::Node c;
-    c.name = "n3";
-    c.listen = "127.0.0.1:0";
-    c.engine = engine.address();
-    c.records = records.address();
-    c.lookup = lookup.address();
+    config::Node c = Site::configuration(engine, records, lookup);
     c.sockets = 64;
     c.control = "127.0.0.1:0";
     c.inherited = ::dup(platform);
-    c.settings = settings();
     platform::Node next(old.w.loop, old.w.deadlines, c);
     next.start();
     old.w.until([&] { return engine.has("ATTACH 0\r\n"); });
