--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -27,15 +27,8 @@
     while (uv_loop_close(&loop_) == UV_EBUSY) uv_run(&loop_, UV_RUN_DEFAULT);
 }
 
-// Read once a turn: the callbacks of one turn are at one time, as libuv's own clock has it. Guards the process
-// against a clock read for every question asked of it, where each read may cost as much as a system call.
 core::Time Loop::unix_now() {
-    if (!fresh_) {
-        now_ = std::chrono::duration_cast<core::Time>(std::chrono::system_clock::now().time_since_epoch());
-        fresh_ = true;
-        ++reads_;
-    }
-    return now_;
+    return std::chrono::duration_cast<core::Time>(std::chrono::system_clock::now().time_since_epoch());
 }
 
 void Loop::on_signal(int signal, std::function<void()> what) {
@@ -51,29 +44,17 @@
     const auto next = deadlines_.next();
     if (!next) {
         uv_timer_stop(&timer_);
-        fresh_ = false;  // the wait comes next: the first read after it is a new one
-        return;
-    }
-    // A timer that stands for the same first deadline stays: guards against two clock reads in every turn.
-    if (armed_ == *next && uv_is_active(reinterpret_cast<uv_handle_t*>(&timer_)) != 0) {
-        fresh_ = false;
         return;
     }
     // libuv counts whole milliseconds from a cached clock: both are allowed for, so that nothing comes early.
     uv_update_time(&loop_);
-    fresh_ = false;
     const auto left = (*next - unix_now()).count();
     const std::uint64_t ms = left <= 0 ? 0 : static_cast<std::uint64_t>((left + 999) / 1000);
-    armed_ = *next;
     uv_timer_start(
         &timer_, [](uv_timer_t* t) { static_cast<Loop*>(t->loop->data)->due(); }, ms, 0);
-    fresh_ = false;
 }
 
-void Loop::due() {
-    fresh_ = false;  // libuv runs its timers before the wait as well: this one may have waited a while
-    deadlines_.run(unix_now());
-}
+void Loop::due() { deadlines_.run(unix_now()); }
 
 void Loop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
 void Loop::stop() { uv_stop(&loop_); }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -17,8 +17,7 @@
     Loop(const Loop&) = delete;
     Loop& operator=(const Loop&) = delete;
 
-    core::Time unix_now() override;  // microseconds, read once a turn of the loop
-    std::uint64_t clock_reads() const { return reads_; }
+    core::Time unix_now() override;
     void on_signal(int signal, std::function<void()> what);
     void run();  // until stop()
     void stop();
@@ -37,9 +36,6 @@
     uv_timer_t timer_{};
     uv_prepare_t prepare_{};
     std::list<Signal> signals_;
-    core::Time now_{0}, armed_{0};  // the time read in this turn; the deadline that the timer stands for
-    bool fresh_ = false;
-    std::uint64_t reads_ = 0;
 };
 
 }  // namespace cressledge::net
--- a/tests/cressledge/handover_test.cpp
+++ b/tests/cressledge/handover_test.cpp
@@ -87,21 +87,3 @@
     ::close(next);
     ::close(platform);
 }
-
-TEST_CASE("the loop reads the clock once a turn, and not at all for a timer that stands") {
-    World w;
-    const std::uint64_t before = w.loop.clock_reads();
-    const Time first = w.loop.unix_now();
-    for (int n = 0; n < 100; ++n) CHECK(w.loop.unix_now() == first);
-    CHECK(w.loop.clock_reads() == before + 1);
-    bool fired = false;
-    w.deadlines.at(first + Span(20'000), [&] { fired = true; });
-    w.loop.turn(false);  // arms the timer: one read for it
-    const std::uint64_t armed = w.loop.clock_reads();
-    for (int n = 0; n < 100; ++n) w.loop.turn(false);
-    CHECK(w.loop.clock_reads() == armed);  // nobody asked, and the timer stands
-    w.until([&] { return fired; });
-    CHECK(wall() >= first + Span(20'000));  // nothing comes early
-    const Time later = w.loop.unix_now();
-    CHECK(later >= first + Span(20'000));
-}
