Drop spent generations in one place, name the newest, remove a dead declaration

Read back: core::Server pruned spent generations with the same loop in retune and in post_to, spelled the newest serial out five times, and declared a handle() that nothing defines; the control front erased its calls one by one in a destructor, which the table's own destructor does. Now drop_spent() and newest() serve each place, the declaration is gone and ~Control is defaulted where Call is whole.

--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -33,12 +33,16 @@
 void Server::retune(curlewreel::Settings settings, std::unique_ptr<curlewreel::Controller> controller) {
     controller->restore(generations_.back().controller->learned());
     generations_.push_back({std::move(settings), std::move(controller), 0});
-    const std::uint64_t serial = oldest_ + generations_.size() - 1;
+    const std::uint64_t serial = newest();
     spdlog::info("settings: generation {} in force with {} classes; {} requests open with the older",
                  serial, generations_.back().settings.classes.size(), unanswered_);
     if (started_) post_to(serial, curlewreel::Started{}, 0);
     if (draining_) post_to(serial, curlewreel::Drain{stop_at_}, 0);
-    // Guards memory against generations that nobody needs: those with nothing open go at once.
+    drop_spent();
+}
+
+// Guards memory against generations that nobody needs: an older one goes once all its requests are over.
+void Server::drop_spent() {
     while (generations_.size() > 1 && generations_.front().open == 0) {
         generations_.pop_front();
         ++oldest_;
@@ -63,7 +67,7 @@
     last_ = std::min(since, clock_.unix_now());  // a cold server has been warming since the executor's start
     actions_.clear();
     busy_ = true;
-    handling_ = oldest_ + generations_.size() - 1;
+    handling_ = newest();
     generations_.back().controller->handle(last_, curlewreel::Started{}, actions_);
     now();
     for (const auto& action : actions_) std::visit([this](const auto& a) { carry(a); }, action);
@@ -107,7 +111,7 @@
     entry->arrival = std::move(arrival);
     entry->responder = &responder;
     entry->ticket = ticket;
-    entry->generation = oldest_ + generations_.size() - 1;
+    entry->generation = newest();
     ++generations_.back().open;
     const curlewreel::Class& c = settings().classes.at(entry->arrival.kind);
     // Guards against a caller whose clock is ahead: nothing arrives later than it is read.
@@ -240,7 +244,7 @@
 void Server::post(curlewreel::Event event, RequestNo over) {
     // Each event of a request goes to the Controller that it came in with; the notice to leave goes to all.
     if (std::holds_alternative<curlewreel::Drain>(event)) {
-        for (std::uint64_t g = oldest_; g < oldest_ + generations_.size(); ++g) post_to(g, event, 0);
+        for (std::uint64_t g = oldest_; g <= newest(); ++g) post_to(g, event, 0);
         return;
     }
     const curlewreel::Id id = std::visit(
@@ -250,7 +254,7 @@
         },
         event);
     const Entry* e = id != 0 ? entries_.find(id) : nullptr;
-    post_to(e != nullptr ? e->generation : oldest_ + generations_.size() - 1, std::move(event), over);
+    post_to(e != nullptr ? e->generation : newest(), std::move(event), over);
 }
 
 void Server::post_to(std::uint64_t to, curlewreel::Event event, RequestNo over) {
@@ -268,11 +272,7 @@
         }
         if (next.over != 0) release(next.over);
     }
-    // Guards memory against generations that nobody needs: an older one goes once all its requests are over.
-    while (generations_.size() > 1 && generations_.front().open == 0) {
-        generations_.pop_front();
-        ++oldest_;
-    }
+    drop_spent();
     busy_ = false;
 }
 
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -174,7 +174,8 @@
     const curlewreel::Settings& settings_of(const Entry& e) { return generation(e.generation)->settings; }
     void post(curlewreel::Event event, RequestNo over = 0);  // to the generation of `over`, else the newest
     void post_to(std::uint64_t to, curlewreel::Event event, RequestNo over);
-    void handle(Generation& g, const curlewreel::Event& event);
+    std::uint64_t newest() const { return oldest_ + generations_.size() - 1; }  // the serial of the last
+    void drop_spent();  // the older generations that have nothing open
     void answer(Entry& e, const Answer& answer);
     void release(RequestNo no);
     void wake(std::uint64_t to, std::uint32_t token);
--- a/src/front/control/control.cpp
+++ b/src/front/control/control.cpp
@@ -88,9 +88,7 @@
       own_(descriptors.take(loop.unix_now(), admission::Purpose::control)),
       listener_(loop.uv(), address, [this] { take(); }) {}
 
-Control::~Control() {
-    for (const core::SlotNo no : calls_.numbers()) calls_.erase(no);
-}
+Control::~Control() = default;
 
 void Control::take() {
     for (std::size_t n = 0; n < most; ++n) {
--- a/src/front/control/control.hpp
+++ b/src/front/control/control.hpp
@@ -34,7 +34,7 @@
     // Throws std::runtime_error when the address cannot be listened on.
     Control(net::Loop& loop, core::Deadlines& deadlines, admission::Descriptors& descriptors,
             const net::Address& address, Source& source);
-    ~Control();
+    ~Control();  // where Call is whole
     Control(const Control&) = delete;
     Control& operator=(const Control&) = delete;
     int port() const { return listener_.port(); }
