--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -50,17 +50,11 @@
     uv_update_time(&loop_);
     const auto left = (*next - unix_now()).count();
     const std::uint64_t ms = left <= 0 ? 0 : static_cast<std::uint64_t>((left + 999) / 1000);
-    if (ms == 0) ++wakes_.at_once;
     uv_timer_start(
         &timer_, [](uv_timer_t* t) { static_cast<Loop*>(t->loop->data)->due(); }, ms, 0);
 }
 
-void Loop::due() {
-    const core::Time now = unix_now();
-    ++wakes_.timer;
-    if (const auto next = deadlines_.next(); !next || *next > now) ++wakes_.early;
-    deadlines_.run(now);
-}
+void Loop::due() { deadlines_.run(unix_now()); }
 
 void Loop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
 void Loop::stop() { uv_stop(&loop_); }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -3,7 +3,6 @@
 
 #include <uv.h>
 
-#include <cstdint>
 #include <functional>
 #include <list>
 
@@ -25,12 +24,6 @@
     void turn(bool wait);  // one round of what is ready
     uv_loop_t* uv() { return &loop_; }
 
-    // Counted here: times the timer woke the loop, and those at which no deadline was due yet on the Unix clock.
-    struct Wakes {
-        std::uint64_t timer = 0, early = 0, at_once = 0;  // at_once: armed for a deadline already due
-    };
-    const Wakes& wakes() const { return wakes_; }
-
 private:
     void arm();
     void due();
@@ -42,7 +35,6 @@
     uv_loop_t loop_{};
     uv_timer_t timer_{};
     uv_prepare_t prepare_{};
-    Wakes wakes_;
     std::list<Signal> signals_;
 };
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -114,9 +114,6 @@
 }
 
 void Node::leave() {
-    const net::Loop::Wakes& w = loop_.wakes();
-    spdlog::info("loop: {} timer wakes, {} of them before any deadline was due, {} arms for one due already",
-                 w.timer, w.early, w.at_once);
     doors_.leave();
     directory_.report(false);
 }
