--- a/bench/calls.py
+++ b/bench/calls.py
@@ -1,11 +1,13 @@
 #!/usr/bin/env python3
 """Counts the system calls of one map server on the platform: idle, then under a known number of requests.
 
-Use: bench/calls.py build/cressledge [--idle 60] [--requests 2000] [--callers 4] [--tracer strace]
+Use: bench/calls.py build/cressledge [--idle 60] [--requests 2000] [--callers 4] [--work 0.002] [--preload LIB.so]
 
 Starts stand-ins of the engine, the records service and the directory on loopback, the program on the platform set-up
 under `strace -f -c`, waits `--idle` seconds, sends `--requests` reads over `--callers` kept connections, and prints the
-calls of each phase by name: the standing rate a second, and the cost a request. Bounded in count and time.
+calls of each phase by name: the standing rate a second, and the cost a request. --preload puts a library of one's
+own into the node (it gets CLOCKS_OUT, a file to write to at exit), for what strace cannot see, such as clock reads.
+Bounded in count and time.
 """
 import argparse
 import asyncio
