One machine of states ends a connection on both fronts, and what lies unread is read first

Lines at fault: Session::bury() from Front::leave(), rest(), whole_by() and let_go(); Front::leave(); Doors::settle(), which waited for all connections; Session::on_eof().

Change: front::Lifecycle (open, draining, lingering, closed) for both fronts. Before a connection is ended what has come is read (Stream::read_now) and is still its request; otherwise the write side is shut and what comes is dropped until the other side closes, or a second. The backlog is emptied before the listening socket is closed. Half a line is ended when nothing else is owed. Ruled out: TCP_NODELAY, set on every stream already.

Tests: tests/cressledge/ending_test.cpp, the crossing forced by plain system calls while the loop stands still.

--- a/src/front/doors.cpp
+++ b/src/front/doors.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 // Before the stop: time for callers to read their answers, and for what crosses a close to be sent elsewhere.
-constexpr core::Span close_before{500'000}, quit_before{100'000}, settle_every{10'000};
+constexpr core::Span close_before{500'000}, settle_every{10'000};
+// The Controller ends what is open 100 ms before the stop. Later than that nobody waits for half a request, and in the
+// last moments for nobody to read an answer.
+constexpr core::Span unwhole_before{150'000}, quit_before{40'000};
 
 }  // namespace
 
@@ -26,16 +29,22 @@
 }
 
 void Doors::settle() {
+    const bool owed = server_.unanswered() > 0 ||
+                      std::any_of(fronts_.begin(), fronts_.end(), [](const auto& f) { return f->owes(); });
+    const core::Time now = server_.now(), stop = server_.stop_at();
+    // Half a request owes nothing: it gets the time that the others need, and no more.
+    if (!owed || now >= stop - unwhole_before)
+        for (const auto& f : fronts_) f->end_unwhole();
     const bool empty = std::all_of(fronts_.begin(), fronts_.end(), [](const auto& f) { return f->empty(); });
     // Nobody is left, or all that was read is answered and the stop is at hand.
-    const bool over = empty || server_.now() >= server_.stop_at() - quit_before;
+    const bool over = empty || now >= stop - quit_before;
     if (over && server_.unanswered() == 0) {
         const auto& n = server_.counts();
         spdlog::info("left: read {}, served {}, refused {}, failed {}, gone {}", n.read, n.served, n.refused,
                      n.failed, n.gone);
         return loop_.stop();
     }
-    deadlines_.at(server_.now() + settle_every, [this] { settle(); });
+    deadlines_.at(now + settle_every, [this] { settle(); });
 }
 
 }  // namespace cressledge::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cressledge::front {
@@ -9,16 +10,17 @@
 
 constexpr std::size_t most_later = 16U << 10U;  // of what a peer sends ahead of its turn
 constexpr std::size_t most_dropped = 1U << 20U;  // read out after a last answer, so that it is not reset away
-constexpr core::Span linger{1'000'000};  // for a peer to read a last answer and close
+constexpr core::Span linger_for{1'000'000};  // for a peer to read a last answer and close
 constexpr core::Span lobby_wait{500'000};  // for the request of somebody who has been turned away already
 constexpr std::size_t most_taken = 64;  // connections in one turn of the loop; the rest wait in the backlog
+constexpr std::size_t most_last = 1024;  // taken out of the backlog before the listening socket is closed
 
 }  // namespace
 
 // ---- Session ----
 
 void Session::on_bytes(std::string_view bytes) {
-    if (finished_) {  // a last answer is on its way; what still comes is not read as a request
+    if (!life_.takes_requests()) {  // the write side is shut: what still comes is dropped, never run or sent on
         dropped_ += bytes.size();
         // Guards the processor against a peer that goes on sending: what has not read its answer now may lose it.
         if (dropped_ > most_dropped) bury();
@@ -36,13 +38,13 @@
 void Session::pump() {
     if (pumping_) return;
     pumping_ = true;
-    while (!busy_ && !finished_ && !later_.empty()) {
+    while (!busy_ && life_.takes_requests() && !later_.empty()) {
         const std::string now = std::exchange(later_, {});
         const std::size_t used = parse(now);
         if (used < now.size()) later_.insert(0, now, used);
     }
     pumping_ = false;
-    if (busy_ || finished_) return;
+    if (busy_ || !life_.takes_requests()) return;
     if (paused_) {
         paused_ = false;
         stream_->pause(false);
@@ -60,16 +62,27 @@
     whole_by_ = true;
     deadline_ = front_.deadlines_.at(when, [this] {
         deadline_ = 0;
-        if (!partial()) return bury();  // nobody has asked anything
-        say(too_slow(), true);
+        overdue();
     });
 }
 
+void Session::overdue() {
+    // Its last bytes may lie in the socket, where this process has been too slow for them.
+    if (stream_ != nullptr) stream_->read_now();
+    if (stream_ == nullptr || busy_ || deadline_ != 0 || !life_.takes_requests()) return;
+    if (!awaited()) return linger();  // nobody has asked anything
+    say(too_slow(), true);
+}
+
 // The request is whole. In hand, it has a place until its answer has gone out.
 bool Session::admitted() {
     busy_ = true;
     resting_ = whole_by_ = false;
     front_.deadlines_.cancel(deadline_);
+    if (evicted_) {
+        hold_off_ = front_.porter_.gate().settings().hold_off;
+        return false;
+    }
     const auto ruling = front_.porter_.gate().request(front_.server_.now(), seat_);
     if (ruling.may) return true;
     front_.porter_.request_refused(ruling, seat_);
@@ -108,7 +121,9 @@
 }
 
 // Once the socket is handed over, a caller's next request goes to the next process by a new connection.
-bool Session::closes() const { return !keep_alive() || front_.leaving_ || front_.handing_over_ || turned_away_; }
+bool Session::closes() const {
+    return !keep_alive() || life_.says_close() || front_.leaving_ || front_.handing_over_ || turned_away_;
+}
 
 void Session::interim(std::string_view bytes) {
     if (stream_ != nullptr) stream_->write(bytes);
@@ -122,22 +137,43 @@
     close = close || turned_away_;
     front_.porter_.gate().answered(front_.server_.now(), seat_, !close);
     resting_ = false;
-    if (close) {
-        finished_ = true;
-        std::string().swap(later_);
-        stream_->finish();
-        if (paused_) stream_->pause(false);
-        // Closing outright while bytes come in would reset the connection under the answer.
-        deadline_ = front_.deadlines_.at(front_.server_.now() + linger, [this] {
-            deadline_ = 0;
-            bury();
-        });
-        return;
-    }
+    if (close) return linger();
     rest();
     pump();
 }
 
+// Closing outright while bytes come in would reset the connection under the answer.
+void Session::linger() {
+    if (!life_.linger()) return;
+    front_.deadlines_.cancel(deadline_);
+    whole_by_ = resting_ = false;
+    std::string().swap(later_);
+    stream_->finish();
+    if (paused_) stream_->pause(false);
+    deadline_ = front_.deadlines_.at(front_.server_.now() + linger_for, [this] {
+        deadline_ = 0;
+        bury();
+    });
+}
+
+// What the other side had sent before this moment is still a request of this connection.
+void Session::drain() {
+    if (!life_.drain() || busy_ || stream_ == nullptr) return;
+    stream_->read_now();
+    if (stream_ == nullptr || busy_ || partial() || !life_.takes_requests()) return;
+    front_.porter_.gate().answered(front_.server_.now(), seat_, false);
+    linger();
+}
+
+// What it had sent by now never ran and is told so; otherwise its descriptor is free at once.
+void Session::evict() {
+    evicted_ = turned_away_ = true;
+    const bool asked_nothing = life_.takes_requests() && !busy_;
+    if (asked_nothing && stream_ != nullptr) stream_->read_now();
+    if (asked_nothing && life_.lingers()) return;
+    bury();
+}
+
 void Session::rest() {
     front_.deadlines_.cancel(deadline_);
     if (!std::exchange(resting_, true)) since_ = front_.server_.now();
@@ -146,12 +182,17 @@
     if (idle <= core::Span(0)) return;
     deadline_ = front_.deadlines_.at(since_ + idle, [this] {
         deadline_ = 0;
-        bury();
+        // A request may have come in this very instant: then it does not rest.
+        if (stream_ != nullptr) stream_->read_now();
+        if (stream_ == nullptr || busy_ || deadline_ != 0 || !life_.takes_requests()) return;
+        front_.porter_.gate().answered(front_.server_.now(), seat_, false);
+        linger();
     });
 }
 
 bool Session::on_eof() {
-    if (busy_ || finished_ || !partial()) return false;
+    if (life_.lingers()) return stream_->unsent();  // it may read on: the deadline ends it
+    if (busy_ || !life_.takes_requests() || !partial()) return false;
     const std::string bytes = cut_short();
     if (bytes.empty()) return false;
     say(bytes, true);
@@ -162,7 +203,6 @@
     stream_ = nullptr;
     const core::RequestNo request = std::exchange(request_, 0);
     busy_ = false;
-    finished_ = true;
     if (request != 0) front_.server_.gone(request);
     bury();
 }
@@ -170,7 +210,7 @@
 void Session::bury() {
     front_.porter_.gate().close(seat_);
     front_.deadlines_.cancel(deadline_);
-    finished_ = true;
+    life_.close();
     if (stream_ != nullptr) std::exchange(stream_, nullptr)->close();
     // Its own code may still be on the stack: the slot is freed on the next turn.
     deadline_ = front_.deadlines_.at(core::Time(0), [front = &front_, no = no_] { front->remove(no); });
@@ -236,7 +276,7 @@
 void Front::remove(core::SlotNo no) { sessions_.erase(no); }
 
 void Front::let_go(std::uint64_t session) {
-    if (Session* s = sessions_.find(session); s != nullptr) s->bury();
+    if (Session* s = sessions_.find(session); s != nullptr) s->evict();
 }
 
 void Front::answer(std::uint64_t ticket, const core::Answer& a) {
@@ -247,7 +287,7 @@
     idle_ = limit;
     for (const core::SlotNo no : sessions_.numbers()) {
         Session* s = sessions_.find(no);
-        if (!s->busy_ && !s->finished_ && !s->whole_by_) s->rest();
+        if (!s->busy_ && s->life_.takes_requests() && !s->whole_by_) s->rest();
     }
 }
 
@@ -260,13 +300,29 @@
 
 void Front::leave() {
     if (leaving_) return;
+    // Who is in the backlog has been accepted by the system, with a request perhaps: closing the socket would reset him.
+    for (std::size_t n = 0; n < most_last && !handing_over_; ++n) {
+        auto lease = porter_.descriptor();
+        if (!lease || !accept(std::move(lease))) break;
+    }
     leaving_ = true;
     listener_.close();
     own_.release();
-    for (const core::SlotNo no : sessions_.numbers()) {
-        Session* s = sessions_.find(no);
-        if (!s->busy_ && !s->finished_ && !s->partial()) s->bury();
-    }
+    for (const core::SlotNo no : sessions_.numbers())
+        if (Session* s = sessions_.find(no); s != nullptr) s->drain();
+}
+
+void Front::end_unwhole() {
+    for (const core::SlotNo no : sessions_.numbers())
+        if (Session* s = sessions_.find(no); s != nullptr && !s->busy_ && s->stream_ != nullptr) s->linger();
+}
+
+bool Front::owes() {
+    const auto all = sessions_.numbers();
+    return std::any_of(all.begin(), all.end(), [this](core::SlotNo no) {
+        const Session* s = sessions_.find(no);
+        return s != nullptr && (s->busy_ || s->life_.lingers());
+    });
 }
 
 }  // namespace cressledge::front
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "core/server.hpp"
+#include "front/lifecycle.hpp"
 #include "front/porter.hpp"
 #include "net/loop.hpp"
 #include "net/stream.hpp"
@@ -29,6 +30,7 @@
     // Takes bytes up to the end of a request; stops after submit(), check() or say(). Says how many it took.
     virtual std::size_t parse(std::string_view bytes) = 0;
     virtual bool partial() const = 0;  // a request has begun and is not whole
+    virtual bool awaited() const { return partial(); }  // what is late at its deadline is told so
     virtual std::string format(const core::Answer& answer, bool close) = 0;
     virtual std::string format_check(bool good, bool close) = 0;
     virtual std::string too_slow() = 0;  // the answer to a request that does not get whole
@@ -47,6 +49,10 @@
     void conclude(const std::string& bytes, bool close);
     void rest();  // no request is open: deadlines for the next one
     void whole_by(core::Time when);
+    void overdue();  // its next request is not whole in time
+    void drain();  // the next answer is the last one; without a request, it ends now
+    void linger();
+    void evict();  // its place is another's
     void bury();
     bool admitted();  // whether the gate lets its request through; if not, it is refused
     bool closes() const;  // with the answer
@@ -55,12 +61,14 @@
     core::SlotNo no_ = 0;
     core::RequestNo request_ = 0;
     std::string later_;  // read ahead of its turn
-    bool busy_ = false, finished_ = false, pumping_ = false, paused_ = false;
+    Lifecycle life_;
+    bool busy_ = false, pumping_ = false, paused_ = false;
     core::Deadlines::Handle deadline_ = 0;
     bool whole_by_ = false;  // the deadline is for the rest of a request
     std::size_t dropped_ = 0;  // bytes that came after a last answer
     admission::SeatNo seat_ = 0;
     bool turned_away_ = false;  // its seat is in the lobby: only read for a request to be refused
+    bool evicted_ = false;  // it has no seat any more: what had been sent by then is refused
     bool resting_ = false;
     core::Time since_{0};  // that it rests
     core::Span hold_off_{0};  // the gate's advice with its refusal
@@ -84,8 +92,10 @@
     // The notice to leave: a listening socket shared with the platform is given up at once, so that who comes
     // next waits in its backlog for the next process; one of our own is kept until leave(), as nobody else has it.
     void notice();
-    void leave();  // refuse connections, close idle ones, and the others with their answer
+    void leave();  // take nobody new, end idle connections, and the others with their answer
+    void end_unwhole();  // after leave(): the connections that have sent nothing, or half a request only
     bool empty() const { return sessions_.size() == 0; }
+    bool owes();  // some connection has a request in hand, or a last answer that may not have been read yet
     int port() const { return listener_.port(); }
     core::Server& server() { return server_; }
 
--- /dev/null
+++ b/src/front/lifecycle.hpp
@@ -0,0 +1,41 @@
+// How a connection ends: one machine for both fronts. "Takes no new request" and "is closed" are two states, and what
+// lies between them is the lingering close: the write side is shut behind the last answer, and what the other side
+// still sends is read and dropped until it has closed as well, or a deadline. A close over unread bytes would reset
+// the connection and destroy the answer on its way.
+//
+// open      -> draining   it shall end: the next answer is the last one, and says so
+// open      -> lingering  its last answer is written, or it rested and nobody had asked anything
+// draining  -> lingering  the same; at the latest when everything else is over, as half a request owes nothing
+// any       -> closed     the other side has closed, a deadline, a peer that reads nothing, or its descriptor is needed
+//
+// Invariants: a request is taken in open and draining only; nothing is written from lingering on; no state is left
+// backwards.
+#pragma once
+
+#include <cstdint>
+
+namespace cressledge::front {
+
+class Lifecycle {
+public:
+    enum class Phase : std::uint8_t { open, draining, lingering, closed };
+
+    bool takes_requests() const { return phase_ <= Phase::draining; }
+    bool says_close() const { return phase_ == Phase::draining; }  // with the next answer
+    bool lingers() const { return phase_ == Phase::lingering; }
+    bool closed() const { return phase_ == Phase::closed; }
+    // Each is true if the state is a new one.
+    bool drain() { return enter(Phase::draining); }
+    bool linger() { return enter(Phase::lingering); }
+    bool close() { return enter(Phase::closed); }
+
+private:
+    bool enter(Phase to) {
+        if (to <= phase_) return false;
+        phase_ = to;
+        return true;
+    }
+    Phase phase_ = Phase::open;
+};
+
+}  // namespace cressledge::front
--- a/src/front/scgi/session.hpp
+++ b/src/front/scgi/session.hpp
@@ -14,7 +14,8 @@
 
 protected:
     std::size_t parse(std::string_view bytes) override;
-    bool partial() const override { return !whole_; }
+    bool partial() const override { return !whole_ && !buffer_.empty(); }
+    bool awaited() const override { return !whole_; }  // who opens such a connection has one request to send
     std::string format(const core::Answer& answer, bool close) override;
     std::string format_check(bool good, bool close) override;
     std::string too_slow() override;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstdlib>
@@ -95,6 +96,7 @@
 
 void Stream::pause(bool on) {
     if (closing_ || !open_) return;
+    paused_ = on;
     auto* stream = reinterpret_cast<uv_stream_t*>(&tcp_);
     if (on) {
         uv_read_stop(stream);
@@ -115,10 +117,26 @@
                 return;
             }
             if (n < 0) return self->end(false);
-            if (self->owner_ != nullptr) self->owner_->on_bytes({buf->base, static_cast<std::size_t>(n)});
+            self->tell({buf->base, static_cast<std::size_t>(n)});
         });
 }
 
+void Stream::tell(std::string_view bytes) {
+    if (owner_ != nullptr) owner_->on_bytes(bytes);
+}
+
+void Stream::read_now() {
+    uv_os_fd_t fd = -1;
+    if (closing_ || !open_ || uv_fileno(reinterpret_cast<uv_handle_t*>(&tcp_), &fd) != 0) return;
+    // An end or an error stays where it is for the loop to find. Bounded: a peer that sends on and on is not waited for.
+    std::array<char, 16U << 10U> bytes;
+    for (int turns = 0; turns < 4 && !closing_ && !paused_; ++turns) {
+        const ssize_t n = ::read(fd, bytes.data(), bytes.size());
+        if (n <= 0) return;
+        tell({bytes.data(), static_cast<std::size_t>(n)});
+    }
+}
+
 bool Stream::write(std::string_view bytes) {
     if (closing_ || finishing_ || !open_) return false;
     auto* stream = reinterpret_cast<uv_stream_t*>(&tcp_);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -49,6 +49,10 @@
     // False when the other side has let too much pile up, or the stream is closing: close it.
     bool write(std::string_view bytes);
     void finish();  // write what is left, then tell the other side that no more comes; reading goes on
+    bool unsent() const { return unwritten_ > 0; }  // bytes that the system has not taken yet
+    // What has come and not been read is told now, not on the loop's next turn. Before a connection is ended: bytes
+    // that are already here have not crossed the ending. The owner may close the stream meanwhile.
+    void read_now();
     void close();  // at once; the owner hears no more
     void pause(bool on);  // stop reading, and take it up again
 
@@ -57,6 +61,7 @@
     void start();
     void end(bool refused);
     void shut();
+    void tell(std::string_view bytes);
 
     static constexpr std::size_t most_unwritten = 256U << 10U;
     Owner* owner_;
@@ -65,7 +70,7 @@
     uv_connect_t connect_{};
     uv_shutdown_t shutdown_{};
     std::size_t unwritten_ = 0;
-    bool open_ = false, closing_ = false, finishing_ = false, shut_ = false;
+    bool open_ = false, closing_ = false, finishing_ = false, shut_ = false, paused_ = false;
 };
 
 // A listening socket of our own making. libuv's takes everything out of the backlog and closes it, requests included,
--- /dev/null
+++ b/tests/cressledge/ending_test.cpp
@@ -0,0 +1,379 @@
+// The instants in which a connection ends, on real sockets and on both fronts. Each crossing is forced: the peer acts by
+// plain system calls while the loop stands still, and only then does the program take its step.
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+#include "front/doors.hpp"
+#include "front/http/session.hpp"
+#include "front/scgi/session.hpp"
+#include "support.hpp"
+
+namespace {
+
+using namespace story;
+
+// A client that acts while the loop does not turn. The system completes its connection in the backlog.
+class Raw {
+public:
+    explicit Raw(int port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<std::uint16_t>(port));
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        // What it sends is on its way when send() returns: the system must not hold a second small write back.
+        const int on = 1;
+        ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        refused = ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0;
+    }
+    ~Raw() { ::close(fd_); }
+    Raw(const Raw&) = delete;
+    Raw& operator=(const Raw&) = delete;
+    void send(const std::string& b) const { REQUIRE(::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size())); }
+    bool try_send(const std::string& b) const { return ::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size()); }
+    void half_close() const { ::shutdown(fd_, SHUT_WR); }
+    void close() { ::close(std::exchange(fd_, -1)); }
+    void take() {  // what has come so far
+        if (fd_ < 0) return;
+        char b[4096];
+        ssize_t n = 0;
+        while ((n = ::recv(fd_, b, sizeof b, MSG_DONTWAIT)) > 0) got.append(b, static_cast<std::size_t>(n));
+        ended = ended || n == 0;
+        reset = reset || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+    bool over() { return take(), ended || reset; }
+    bool has(const std::string& part) { return take(), got.find(part) != std::string::npos; }
+
+    std::string got;
+    bool refused = false, ended = false, reset = false;
+
+private:
+    int fd_;
+};
+
+// Runs everything, or holds it until it is told; each request's fate is in the test's hands.
+struct Runs final : curlewreel::Controller {
+    bool refuses = false;
+    void handle(Time, const curlewreel::Event& e, std::vector<curlewreel::Action>& out) override {
+        const auto* r = std::get_if<curlewreel::Request>(&e);
+        if (r == nullptr) return;
+        if (refuses)
+            out.emplace_back(curlewreel::Refuse{r->id, Span(0), false});
+        else
+            out.emplace_back(curlewreel::Run{r->id});
+    }
+};
+
+enum class Speaks { http, scgi };
+
+// One front before a core whose runs the test ends.
+struct Hall final : core::Executor, core::Records, core::Surroundings {
+    World w;
+    const Speaks speaks;
+    admission::Plan plan;
+    admission::Descriptors descriptors;
+    Runs* runs = new Runs;
+    core::Server server;
+    front::Porter porter;
+    front::Supply supply{7, 24.0};
+    front::Doors doors;
+    std::vector<core::RequestNo> running;
+    int ids = 0;
+
+    static admission::Plan planned(std::uint32_t connections) {
+        admission::Needs needs;
+        needs.listeners = 1;
+        needs.lobby = 4;
+        return admission::plan(256, 0, needs, connections);
+    }
+    static admission::Settings admitted(const admission::Plan& plan) {
+        admission::Settings s;
+        s.connections = plan.connections;
+        s.lobby = plan.lobby;
+        return s;
+    }
+    explicit Hall(Speaks wire, front::Front::Limits limits = {}, std::uint32_t connections = 64, Span stop = Span(3'000'000))
+        : speaks(wire), plan(planned(connections)), descriptors(plan),
+          server(settings(), std::unique_ptr<curlewreel::Controller>(runs), w.loop, w.deadlines),
+          porter(w.deadlines, server, descriptors, admitted(plan), 1), doors(w.loop, w.deadlines, server, stop) {
+        server.attach(*this, *this, *this);
+        server.start(wall());
+        doors.add(std::make_unique<front::Front>(
+            w.loop, w.deadlines, server, porter, net::Listening{at(0)}, limits, [this](front::Front& f) -> std::unique_ptr<front::Session> {
+                if (speaks == Speaks::scgi) return std::make_unique<front::scgi::ScgiSession>(f, supply);
+                return std::make_unique<front::http::HttpSession>(f, &supply);
+            }));
+    }
+    void run(const core::Work& work) override { running.push_back(work.no); }
+    void halt(core::RequestNo) override {}
+    void resume(core::RequestNo) override {}
+    void feed(core::RequestNo, std::string_view) override {}
+    void skip(core::RequestNo, std::uint64_t) override {}
+    bool sample(std::uint64_t) override { return false; }
+    bool test(std::uint64_t) override { return false; }
+    void release(core::RequestNo) override {}
+    void call(core::RequestNo, std::string_view, std::string_view, Time) override {}
+    void abandon(core::RequestNo) override {}
+    void idle_limit(Span) override {}
+
+    front::Front& front() { return doors.last(); }
+    std::uint64_t read() const { return server.counts().read; }
+    std::string request(const std::string& kind = "map-order", const std::string& body = "x") {
+        if (speaks == Speaks::http)
+            return "POST /v1/" + kind + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string head = bytes("CONTENT_LENGTH\0") + std::to_string(body.size()) + '\0';
+        head += bytes("SCGI\0\x31\0REQUEST_METHOD\0POST\0REQUEST_URI\0/v1/") + kind + '\0';
+        return std::to_string(head.size()) + ':' + head + ',' + body;
+    }
+    // A connection that has been accepted and has nothing in hand: over HTTP one that has been answered before.
+    std::unique_ptr<Raw> resting() {
+        auto r = std::make_unique<Raw>(front().port());
+        const std::size_t had = connections();
+        w.until([&] { return connections() == had + 1; }, true);
+        if (speaks == Speaks::scgi) return r;
+        r->send("GET /healthz HTTP/1.1\r\n\r\n");
+        w.until([&] { return r->has("\r\n\r\n"); });
+        r->got.clear();
+        return r;
+    }
+    std::size_t connections() const { return porter_open(); }
+    std::size_t porter_open() const { return const_cast<front::Porter&>(porter).gate().open(); }
+    void serve_all() {
+        for (const core::RequestNo no : std::exchange(running, {})) server.ended(no, core::End::pass, "a whole map");
+    }
+    void served(Raw& r) {  // one whole answer, then a clean end
+        w.until([&] { return r.over(); });
+        INFO(r.got);
+        CHECK(r.has(" 200 OK\r\n"));
+        CHECK(r.has("\r\n\r\na whole map"));
+        CHECK_FALSE(r.reset);
+        CHECK(r.got.find(" 200 OK", r.got.find(" 200 OK") + 1) == std::string::npos);
+    }
+    void ended_clean(Raw& r) {
+        w.until([&] { return r.over(); });
+        CHECK_FALSE(r.reset);
+        CHECK(r.got.empty());
+    }
+};
+
+constexpr Speaks both[] = {Speaks::http, Speaks::scgi};
+
+}  // namespace
+
+TEST_CASE("ending: a request that lies unread on a resting connection when it is to end is answered") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        auto r = h.resting();
+        r->send(h.request());  // the loop does not turn
+        h.front().leave();
+        CHECK(h.running.size() == 1);
+        h.serve_all();
+        h.served(*r);
+        if (wire == Speaks::http) CHECK(r->has("Connection: close\r\n"));
+    }
+}
+
+TEST_CASE("ending: what comes after the shutdown is never run, and resets nothing") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        auto r = h.resting();
+        const auto before = h.read();
+        h.front().leave();
+        r->send(h.request());  // it crosses the shutdown
+        h.ended_clean(*r);
+        CHECK(h.read() == before);
+        CHECK(h.running.empty());
+        CHECK(h.front().owes());  // until the other side has closed as well
+        r->close();
+        h.w.until([&] { return h.front().empty(); });
+    }
+}
+
+TEST_CASE("ending: bytes behind a last answer neither destroy it nor run") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        auto r = h.resting();
+        r->send(h.request());
+        h.w.until([&] { return h.running.size() == 1; });
+        h.front().leave();
+        r->send(h.request() + h.request());  // unread when the answer goes out
+        h.serve_all();
+        r->try_send(h.request());
+        h.served(*r);
+        CHECK(h.read() == 1);
+        r->close();
+        h.w.until([&] { return h.front().empty(); });
+    }
+}
+
+TEST_CASE("ending: who waits in the backlog when the listening socket is closed is answered") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        Raw asked(h.front().port()), silent(h.front().port());
+        asked.send(h.request());
+        h.front().leave();  // neither has been accepted yet
+        h.serve_all();
+        h.served(asked);
+        h.ended_clean(silent);
+        Raw late(h.front().port());
+        CHECK((late.refused || late.over()));
+    }
+}
+
+TEST_CASE("ending: a request that comes in the instant of an idle limit is answered, and another ends clean") {
+    front::Front::Limits limits;
+    limits.idle = Span(1'000'000);
+    Hall h(Speaks::http, limits);
+    auto crosses = h.resting(), rests = h.resting();
+    crosses->send(h.request());
+    h.w.deadlines.run(wall() + Span(1'500'000));  // both limits are over, and the loop has read nothing
+    CHECK(h.running.size() == 1);
+    h.ended_clean(*rests);
+    h.serve_all();
+    h.w.until([&] { return crosses->has("a whole map"); });
+    CHECK_FALSE(crosses->over());  // and it may ask again
+}
+
+TEST_CASE("ending: the last bytes of a request that lie unread at its time's end are read before it is judged") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        const std::string all = h.request();
+        auto r = h.resting(), half = h.resting();
+        r->send(all.substr(0, 20));
+        half->send(all.substr(0, 20));
+        h.w.loop.turn(false);
+        h.w.loop.turn(false);
+        r->send(all.substr(20));
+        h.w.deadlines.run(wall() + Span(5'000'000));
+        CHECK(h.running.size() == 1);
+        h.w.until([&] { return half->over(); });
+        CHECK(half->has(wire == Speaks::http ? " 408 " : " 400 "));
+        CHECK_FALSE(half->reset);
+        h.serve_all();
+        h.w.until([&] { return r->has("a whole map"); });
+    }
+}
+
+TEST_CASE("ending: a connection that makes room is refused what it had asked by then, or ends clean") {
+    for (const Speaks wire : both) {
+        Hall h(wire, {}, 2);
+        auto asks = h.resting();
+        asks->send(h.request());  // unread
+        auto other = std::make_unique<Raw>(h.front().port());
+        Raw third(h.front().port());
+        other->send(h.request("trail-sheet"));
+        third.send(h.request("trail-sheet"));
+        // All three are let in or refused in one go, before anything is read from the first.
+        h.w.until([&] {
+            h.serve_all();
+            return asks->has("\r\n\r\n") && other->has("\r\n\r\n") && third.has("\r\n\r\n");
+        });
+        for (Raw* r : {asks.get(), other.get(), &third}) {
+            CHECK_FALSE(r->reset);
+            CHECK((r->has(" 200 OK") || r->has(" 503 ")));
+        }
+    }
+}
+
+TEST_CASE("ending: an evicted connection's unread request never runs and is told so") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        auto r = h.resting(), idle = h.resting();
+        r->send(h.request());
+        for (int i = 0; i < 2; ++i) CHECK(h.porter.descriptors().used() > 0);
+        const auto one = h.porter.gate().shed(h.server.now()), two = h.porter.gate().shed(h.server.now());
+        REQUIRE((one && two));
+        h.front().let_go(one->tag);
+        h.front().let_go(two->tag);
+        h.w.until([&] { return r->over() && idle->over(); });
+        CHECK(r->has(" 503 "));
+        CHECK_FALSE(r->reset);
+        CHECK(idle->got.empty());
+        CHECK_FALSE(idle->reset);
+        CHECK(h.running.empty());
+    }
+}
+
+TEST_CASE("ending: half a line and a connection that says nothing do not hold up the exit") {
+    for (const Speaks wire : both) {
+        front::Front::Limits limits;
+        limits.whole = Span(60'000'000);  // longer than the way out: what ends the half line is the exit
+        Hall h(wire, limits, 64, Span(20'000'000));
+        const std::string all = h.request();
+        auto half = h.resting(), silent = h.resting(), asks = h.resting();
+        asks->send(all);
+        h.w.until([&] { return h.running.size() == 1; });
+        half->send(all.substr(0, 20));
+        h.w.loop.turn(false);
+        h.w.loop.turn(false);
+        const Time from = wall();
+        h.doors.leave();
+        // The way out begins half a second before the stop; that is brought about, not waited for.
+        h.w.deadlines.run(h.server.stop_at() - Span(500'000));
+        bool stopped = false;
+        h.serve_all();
+        h.served(*asks);
+        h.ended_clean(*silent);
+        asks->close();
+        silent->close();
+        h.w.until([&] {
+            if (half->over()) half->close();
+            return stopped = h.front().empty();
+        });
+        CHECK(stopped);
+        CHECK(half->got.empty());  // nothing is owed to half a line
+        CHECK_FALSE(half->reset);
+        CHECK(wall() - from < Span(5'000'000));
+    }
+}
+
+TEST_CASE("ending: the rest of a half line that comes while others are waited for is answered") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        const std::string all = h.request();
+        auto half = h.resting(), asks = h.resting();
+        asks->send(all);
+        half->send(all.substr(0, 20));
+        h.w.until([&] { return h.running.size() == 1; });
+        h.w.loop.turn(false);
+        h.front().leave();
+        half->send(all.substr(20));
+        h.w.until([&] { return h.running.size() == 2; });
+        h.serve_all();
+        h.served(*asks);
+        h.served(*half);
+    }
+}
+
+TEST_CASE("ending: a last answer larger than the system takes at once reaches a peer that has shut its side") {
+    Hall h(Speaks::http);
+    auto r = h.resting();
+    r->send(h.request());
+    h.w.until([&] { return h.running.size() == 1; });
+    h.front().leave();
+    const std::string large(200'000, 'm');
+    for (const core::RequestNo no : std::exchange(h.running, {})) h.server.ended(no, core::End::pass, large);
+    r->half_close();  // behind its answer, of which most is still to be written
+    for (int i = 0; i < 3; ++i) h.w.loop.turn(false);
+    h.w.until([&] { return r->over(); });
+    CHECK_FALSE(r->reset);
+    CHECK(r->got.size() > large.size());
+}
+
+TEST_CASE("ending: a connection's states are left forwards only") {
+    front::Lifecycle l;
+    CHECK(l.takes_requests());
+    CHECK(l.drain());
+    CHECK((l.takes_requests() && l.says_close()));
+    CHECK_FALSE(l.drain());
+    CHECK(l.linger());
+    CHECK_FALSE(l.takes_requests());
+    CHECK_FALSE((l.drain() || l.linger()));
+    CHECK(l.close());
+    CHECK_FALSE((l.linger() || l.close() || l.lingers()));
+    CHECK(l.closed());
+}
