Keyed classes are known by Replay-Key and payload; no records address where nothing is called

Cause: front/fields.cpp read no idempotency key, tenant, wait or mark of a further try, so Server::repeat_of had no key for a keyed class; config/node.cpp wanted `records` of every site; and nothing tied a key to what it was used for: a probe of the fields that came in showed bad clients using another request's Replay-Key with another body (13 of 17 shared keys at one server).

Change: Replay-Key for keyed classes, Project, Max-Wait-Ms, Is-Retry; the settings alone say which key counts. A kept key holds a digest of its payload; another payload is refused as malformed and counted. Keys outlive a reload of settings, and one that came within the window is a repeat however late it is read (Server::key_of had the generation in it; drop_key at the window's end). `records` is needed only where the settings name something that is called.

--- a/src/config/node.cpp
+++ b/src/config/node.cpp
@@ -31,7 +31,6 @@
     n.listen = text("listen");
     n.engine = text("engine");
     n.lookup = text("lookup");
-    n.records = text("records");
     if (doc.contains("control") && !doc["control"].is_null()) n.control = text("control");
     const std::string seed = text("seed");
     if (std::from_chars(seed.data(), seed.data() + seed.size(), n.seed, 16).ptr != seed.data() + seed.size())
@@ -58,6 +57,8 @@
     }
     n.source = doc["settings"].dump();
     n.settings = settings_from_json(n.source);
+    // Where nothing is called below there is no such address.
+    if (n.settings.below != curlewreel::Below::none || doc.contains("records")) n.records = text("records");
     return n;
 }
 
--- a/src/config/node.hpp
+++ b/src/config/node.hpp
@@ -10,7 +10,8 @@
 namespace cressledge::config {
 
 struct Node {
-    std::string name, listen, engine, lookup, records;
+    std::string name, listen, engine, lookup;
+    std::string records;  // empty: the settings name nothing that is called
     std::string control;  // the control address; empty: none
     std::uint64_t seed = 0;
     curlewreel::Span stop{3'000'000};  // between the notice to leave and the stop
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -1,6 +1,8 @@
 #include "core/server.hpp"
 
 #include <spdlog/spdlog.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -107,6 +109,16 @@
         return 0;
     }
     const Time at = now();
+    // Guards a request against another under its idempotency key: it would be answered with the result of what it is not.
+    if (const Kept* k = kept_for(settings(), arrival, at); k != nullptr && !(k->payload == payload_of(arrival))) {
+        ++counts_.failed;
+        ++of_class(settings(), arrival.kind).errors;
+        std::uint64_t passed = 0;
+        if (foreign_.may(at, passed))
+            spdlog::info("idempotency key used for another payload: refused as malformed; {} more like it", passed);
+        responder.answer(ticket, Answer{Verdict::malformed, {}, Span(0), false});
+        return 0;
+    }
     auto entry = std::make_unique<Entry>();
     entry->arrival = std::move(arrival);
     entry->responder = &responder;
@@ -115,14 +127,16 @@
     ++generations_.back().open;
     const curlewreel::Class& c = settings().classes.at(entry->arrival.kind);
     // Guards against a caller whose clock is ahead: nothing arrives later than it is read.
-    const Time accepted = std::min(entry->arrival.accepted, at);
-    entry->due = accepted + c.deadline;
+    const Time accepted = entry->arrival.accepted = std::min(entry->arrival.accepted, at);
+    entry->due = std::max(at, accepted + entry->arrival.wait.value_or(c.deadline));
     curlewreel::Request r;
     r.kind = entry->arrival.kind;
     r.tenant = entry->arrival.tenant;
     r.caller = entry->arrival.caller;
     r.repeats = entry->repeats = repeat_of(*entry);
     r.has_key = !entry->arrival.key.empty();
+    r.retry = entry->arrival.retry;
+    if (entry->arrival.wait) r.due = entry->due;
     r.write = c.effect != Effect::safe;
     r.hint = entry->arrival.hint;
     r.rank = entry->arrival.rank;
@@ -415,9 +429,20 @@
 
 // ---- kept keys ----
 
-// By the class's name and the generation: a key kept by one Controller means nothing to another.
-std::string Server::key_of(const Entry& e) {
-    return std::to_string(e.generation) + ':' + settings_of(e).classes[e.arrival.kind].name + ':' + e.arrival.key;
+// By the class's name, whatever the generation: what has run under older settings has run all the same, and a repeat
+// that comes after a reload shares its outcome.
+std::string Server::key_of(const curlewreel::Settings& s, const Arrival& a) { return s.classes[a.kind].name + ':' + a.key; }
+std::string Server::key_of(const Entry& e) { return key_of(settings_of(e), e.arrival); }
+
+Server::Payload Server::payload_of(const Arrival& a) {
+    const XXH128_hash_t hash = XXH3_128bits(a.body.data(), a.body.size());
+    return {hash.high64, hash.low64};
+}
+// What stands under its idempotency key, if it came within the window.
+const Server::Kept* Server::kept_for(const curlewreel::Settings& s, const Arrival& a, Time at) const {
+    if (a.key.empty() || s.classes.at(a.kind).effect != Effect::keyed) return nullptr;
+    const auto it = kept_.find(key_of(s, a));
+    return it != kept_.end() && std::min(a.accepted, at) <= it->second.until ? &it->second : nullptr;
 }
 
 RequestNo Server::repeat_of(const Entry& e) {
@@ -425,6 +450,8 @@
     const auto it = kept_.find(key_of(e));
     if (it == kept_.end()) return 0;
     const Kept& k = it->second;
+    // It is when a try reached the machine that counts, no matter how late it is read.
+    if (e.arrival.accepted > k.until) return 0;
     const curlewreel::Settings& s = settings_of(e);
     if (s.classes[e.arrival.kind].effect == Effect::safe && k.done && (!k.good || now() - k.ended > s.fresh))
         return 0;
@@ -444,9 +471,20 @@
     }
     Kept& k = kept_[key];
     deadlines_.cancel(k.expiry);
+    if (k.holder != a.id && (k.done || now() > k.until)) {
+        // Its time is over: what comes from here on repeats the new one, and must not get the old one's result.
+        for (const RequestNo w : std::exchange(k.waiting, {})) give(w, Kept{});
+        kept_bytes_ -= k.result.size();
+        k.result.clear();
+        k.done = k.good = false;
+    }
     k.holder = a.id;
+    k.payload = payload_of(e->arrival);
     k.until = now() + a.span;
-    k.expiry = deadlines_.at(k.until, [this, key] { drop_key(key); });
+    // Guards what must not run twice against a try that came within the window and is read after it: it stays known
+    // for as long as such a try could still be run.
+    const Span late = effect == Effect::keyed ? s.classes[e->arrival.kind].deadline : Span(0);
+    k.expiry = deadlines_.at(k.until + late, [this, key] { drop_key(key); });
 }
 void Server::carry(const curlewreel::Forget& a) {
     Entry* e = entries_.find(a.id);
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,7 +27,9 @@
     std::size_t kind = 0;
     std::size_t tenant = curlewreel::unknown;
     std::uint64_t caller = 0;
-    std::string key;  // what a read is about; empty: none
+    std::string key;  // what a read is about, or the idempotency key where the class is keyed; empty: none
+    bool retry = false;  // marked as a further try
+    std::optional<Span> wait;  // how long its caller waits from then on; none: the class says
     double hint = 0.0;  // seconds of work; 0: none
     double rank = 0.5;
     double held_kb = 0.0;
@@ -154,8 +157,10 @@
         std::uint64_t generation = 0;  // of the settings and Controller that it came in with
         std::string call_body;
     };
+    using Payload = std::pair<std::uint64_t, std::uint64_t>;  // a digest of it
     struct Kept {  // a kept key; the result stays while others may share it
         RequestNo holder = 0;
+        Payload payload{};  // of the holder: a repeat has the same
         Time until{0}, ended{0};
         bool done = false, good = false;
         std::string result;
@@ -183,7 +188,10 @@
     void release(RequestNo no);
     void wake(std::uint64_t to, std::uint32_t token);
     void deliver(std::uint64_t tag, const curlewreel::Gauges& gauges);
+    static std::string key_of(const curlewreel::Settings& s, const Arrival& a);
     std::string key_of(const Entry& e);
+    static Payload payload_of(const Arrival& a);
+    const Kept* kept_for(const curlewreel::Settings& s, const Arrival& a, Time at) const;
     RequestNo repeat_of(const Entry& e);
     void settle_key(const Entry& e, RequestNo no, bool good, std::string_view result);
     void give(RequestNo no, const Kept& kept);
@@ -235,7 +243,7 @@
     Counts counts_;
     std::map<std::string, ClassCounts> by_class_;
     ClassCounts& of_class(const curlewreel::Settings& s, std::size_t kind);
-    Quiet unseen_;
+    Quiet unseen_, foreign_;
 };
 
 }  // namespace cressledge::core
--- a/src/front/fields.hpp
+++ b/src/front/fields.hpp
@@ -26,11 +26,12 @@
 public:
     void set(std::string_view name,
              std::string_view value);  // lower case, with dashes; others are passed over
-    // False: `wrong` names what is malformed or missing. Without a supply nothing may be missing.
-    bool fill(core::Arrival& to, Supply* supply, core::Time now, const char*& wrong) const;
+    // For a request whose class is known. False: `wrong` names what is malformed or missing. Without a supply nothing may
+    // be missing. Which of the keys counts is up to the class's effect in the settings in force.
+    bool fill(core::Arrival& to, Supply* supply, core::Server& server, const char*& wrong) const;
 
 private:
-    enum Field { id, stamp, caller, hint, size, rank, key, count };
+    enum Field { id, stamp, caller, hint, size, rank, key, idempotency_key, tenant, wait, retry, count };
     std::string values_[count];
     bool given_[count] = {}, twice_ = false;
 };
--- a/src/front/http/session.cpp
+++ b/src/front/http/session.cpp
@@ -178,7 +178,7 @@
     if (arrival.kind == curlewreel::unknown) return refuse(404, "Not Found", !keep);
     if (!post) return refuse(405, "Method Not Allowed", !keep);
     const char* wrong = nullptr;
-    if (!fields_.fill(arrival, supply_, front_.server().now(), wrong)) {
+    if (!fields_.fill(arrival, supply_, front_.server(), wrong)) {
         std::uint64_t passed = 0;
         static core::Quiet quiet;
         if (quiet.may(front_.server().now(), passed))
--- a/src/front/scgi/session.cpp
+++ b/src/front/scgi/session.cpp
@@ -121,7 +121,7 @@
     const bool safe = front_.server().settings().classes[arrival.kind].effect == curlewreel::Effect::safe;
     if (method_ != "POST" && !(safe && method_ == "GET")) return refuse("405 Method Not Allowed", "method");
     const char* wrong = "";
-    if (!fields_.fill(arrival, &supply_, front_.server().now(), wrong))
+    if (!fields_.fill(arrival, &supply_, front_.server(), wrong))
         return refuse("400 Bad Request", wrong);
     arrival.body = buffer_.substr(body_at_, body_length_);
     std::string().swap(buffer_);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -19,6 +19,11 @@
     return *a;
 }
 
+// Where nothing is called there is no such address: a call that came up all the same would be refused.
+net::Address records_at(const config::Node& c) {
+    return c.records.empty() ? net::Address{} : address("records", c.records);
+}
+
 // Callers there cannot be told apart with certainty: nobody is listed and nobody is capped. Callers use half of the
 // descriptors; what the rest leaves is for our own links and for connections that are closing.
 admission::Settings admission_of(const config::Node& c, const admission::Plan& plan) {
@@ -47,7 +52,7 @@
       porter_(deadlines, server_, descriptors_, admission_of(c, plan_), c.seed),
       doors_(loop, deadlines, server_, c.stop),
       engine_(loop, deadlines, address("engine", c.engine), server_, descriptors_, c.gauges),
-      records_(loop, deadlines, address("records", c.records), records_of(c), server_, descriptors_),
+      records_(loop, deadlines, records_at(c), records_of(c), server_, descriptors_),
       directory_(loop, deadlines, address("lookup", c.lookup), descriptors_, c.name) {
     front::Front::Limits limits;
     // Callers close what has rested that long; those that never do are let go a little later.
@@ -84,7 +89,7 @@
         if (c.name != config_.name || c.listen != config_.listen)
             throw config::Invalid(path + ": name and listen change with a restart only");
         // All are read before the first is used: guards against half a configuration in force.
-        const net::Address engine = address("engine", c.engine), records = address("records", c.records),
+        const net::Address engine = address("engine", c.engine), records = records_at(c),
                            lookup = address("lookup", c.lookup);
         spdlog::info("configuration: in force: engine {}, records {}, lookup {}", c.engine, c.records,
                      c.lookup);
--- a/tests/cressledge/config_test.cpp
+++ b/tests/cressledge/config_test.cpp
@@ -260,6 +260,13 @@
     CHECK(with("\"name\":\"a\",", "") == "settings: a class without a name");
     CHECK(with("[{\"name\":\"a\",\"effect\":\"single_shot\",\"deadline\":900}]", "[]") == "settings: no classes");
     CHECK(with(",\"settings\"", ",\"x\"") == "missing object: settings");
+    // A site whose requests call nothing has no such address; one that calls needs it.
+    const std::string records = "\"records\":\"r\",", domain = "\"domain\":{";
+    std::string without = good;
+    without.erase(without.find(records), records.size());
+    CHECK(config::node_from_json(without).records.empty());
+    without.insert(without.find(domain) + domain.size(), "\"depends-on\":\"one_for_all\",");
+    CHECK(complaint([&] { config::node_from_json(without); }) == "missing text: records");
     CHECK(complaint([&] { config::node_from_json(good.substr(0, good.size() / 2)); }) == "not a JSON object");
     CHECK(complaint([] { config::node_from_json(""); }) == "not a JSON object");
 }
--- a/tests/cressledge/ending_test.cpp
+++ b/tests/cressledge/ending_test.cpp
@@ -1,169 +1,11 @@
 // The instants in which a connection ends, on real sockets and on both fronts. Each crossing is forced: the peer acts by
 // plain system calls while the loop stands still, and only then does the program take its step.
-#include <arpa/inet.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <cerrno>
-
-#include "front/doors.hpp"
-#include "front/http/session.hpp"
-#include "front/scgi/session.hpp"
-#include "support.hpp"
+#include "hall.hpp"
 
 namespace {
 
 using namespace story;
 
-// A client that acts while the loop does not turn. The system completes its connection in the backlog.
-class Raw {
-public:
-    explicit Raw(int port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(static_cast<std::uint16_t>(port));
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        // What it sends is on its way when send() returns: the system must not hold a second small write back.
-        const int on = 1;
-        ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        refused = ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0;
-    }
-    ~Raw() { ::close(fd_); }
-    Raw(const Raw&) = delete;
-    Raw& operator=(const Raw&) = delete;
-    void send(const std::string& b) const { REQUIRE(::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size())); }
-    bool try_send(const std::string& b) const { return ::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size()); }
-    void half_close() const { ::shutdown(fd_, SHUT_WR); }
-    void close() { ::close(std::exchange(fd_, -1)); }
-    void take() {  // what has come so far
-        if (fd_ < 0) return;
-        char b[4096];
-        ssize_t n = 0;
-        while ((n = ::recv(fd_, b, sizeof b, MSG_DONTWAIT)) > 0) got.append(b, static_cast<std::size_t>(n));
-        ended = ended || n == 0;
-        reset = reset || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-    bool over() { return take(), ended || reset; }
-    bool has(const std::string& part) { return take(), got.find(part) != std::string::npos; }
-
-    std::string got;
-    bool refused = false, ended = false, reset = false;
-
-private:
-    int fd_;
-};
-
-// Runs everything, or holds it until it is told; each request's fate is in the test's hands.
-struct Runs final : curlewreel::Controller {
-    bool refuses = false;
-    void handle(Time, const curlewreel::Event& e, std::vector<curlewreel::Action>& out) override {
-        const auto* r = std::get_if<curlewreel::Request>(&e);
-        if (r == nullptr) return;
-        if (refuses)
-            out.emplace_back(curlewreel::Refuse{r->id, Span(0), false});
-        else
-            out.emplace_back(curlewreel::Run{r->id});
-    }
-};
-
-enum class Speaks { http, scgi };
-
-// One front before a core whose runs the test ends.
-struct Hall final : core::Executor, core::Records, core::Surroundings {
-    World w;
-    const Speaks speaks;
-    admission::Plan plan;
-    admission::Descriptors descriptors;
-    Runs* runs = new Runs;
-    core::Server server;
-    front::Porter porter;
-    front::Supply supply{7, 24.0};
-    front::Doors doors;
-    std::vector<core::RequestNo> running;
-    int ids = 0;
-
-    static admission::Plan planned(std::uint32_t connections) {
-        admission::Needs needs;
-        needs.listeners = 1;
-        needs.lobby = 4;
-        return admission::plan(256, 0, needs, connections);
-    }
-    static admission::Settings admitted(const admission::Plan& plan) {
-        admission::Settings s;
-        s.connections = plan.connections;
-        s.lobby = plan.lobby;
-        return s;
-    }
-    explicit Hall(Speaks wire, front::Front::Limits limits = {}, std::uint32_t connections = 64, Span stop = Span(3'000'000))
-        : speaks(wire), plan(planned(connections)), descriptors(plan),
-          server(settings(), std::unique_ptr<curlewreel::Controller>(runs), w.loop, w.deadlines),
-          porter(w.deadlines, server, descriptors, admitted(plan), 1), doors(w.loop, w.deadlines, server, stop) {
-        server.attach(*this, *this, *this);
-        server.start(wall());
-        doors.add(std::make_unique<front::Front>(
-            w.loop, w.deadlines, server, porter, net::Listening{at(0)}, limits, [this](front::Front& f) -> std::unique_ptr<front::Session> {
-                if (speaks == Speaks::scgi) return std::make_unique<front::scgi::ScgiSession>(f, supply);
-                return std::make_unique<front::http::HttpSession>(f, &supply);
-            }));
-    }
-    void run(const core::Work& work) override { running.push_back(work.no); }
-    void halt(core::RequestNo) override {}
-    void resume(core::RequestNo) override {}
-    void feed(core::RequestNo, std::string_view) override {}
-    void skip(core::RequestNo, std::uint64_t) override {}
-    bool sample(std::uint64_t) override { return false; }
-    bool test(std::uint64_t) override { return false; }
-    void release(core::RequestNo) override {}
-    void call(core::RequestNo, std::string_view, std::string_view, Time) override {}
-    void abandon(core::RequestNo) override {}
-    void idle_limit(Span) override {}
-
-    front::Front& front() { return doors.last(); }
-    std::uint64_t read() const { return server.counts().read; }
-    std::string request(const std::string& kind = "map-order", const std::string& body = "x") {
-        if (speaks == Speaks::http)
-            return "POST /v1/" + kind + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        std::string head = bytes("CONTENT_LENGTH\0") + std::to_string(body.size()) + '\0';
-        head += bytes("SCGI\0\x31\0REQUEST_METHOD\0POST\0REQUEST_URI\0/v1/") + kind + '\0';
-        return std::to_string(head.size()) + ':' + head + ',' + body;
-    }
-    // A connection that has been accepted and has nothing in hand: over HTTP one that has been answered before.
-    std::unique_ptr<Raw> resting() {
-        auto r = std::make_unique<Raw>(front().port());
-        const std::size_t had = connections();
-        w.until([&] { return connections() == had + 1; }, true);
-        if (speaks == Speaks::scgi) return r;
-        r->send("GET /healthz HTTP/1.1\r\n\r\n");
-        w.until([&] { return r->has("\r\n\r\n"); });
-        r->got.clear();
-        return r;
-    }
-    std::size_t connections() const { return porter_open(); }
-    std::size_t porter_open() const { return const_cast<front::Porter&>(porter).gate().open(); }
-    void serve_all() {
-        for (const core::RequestNo no : std::exchange(running, {})) server.ended(no, core::End::pass, "a whole map");
-    }
-    void served(Raw& r) {  // one whole answer, then a clean end
-        w.until([&] { return r.over(); });
-        INFO(r.got);
-        CHECK(r.has(" 200 OK\r\n"));
-        CHECK(r.has("\r\n\r\na whole map"));
-        CHECK_FALSE(r.reset);
-        CHECK(r.got.find(" 200 OK", r.got.find(" 200 OK") + 1) == std::string::npos);
-    }
-    void ended_clean(Raw& r) {
-        w.until([&] { return r.over(); });
-        CHECK_FALSE(r.reset);
-        CHECK(r.got.empty());
-    }
-};
-
-constexpr Speaks both[] = {Speaks::http, Speaks::scgi};
-
-}  // namespace
-
 TEST_CASE("ending: a request that lies unread on a resting connection when it is to end is answered") {
     for (const Speaks wire : both) {
         Hall h(wire);
@@ -377,3 +219,5 @@
     CHECK_FALSE((l.linger() || l.close() || l.lingers()));
     CHECK(l.closed());
 }
+
+}  // namespace
