Slow start held for the fleet: each process takes its share of the calls a cold server is allowed

Seen: 30 real processes before a server that joins (40 calls a second when warm, 6 s of slow start): 379 calls of 144 allowed, 104 over N + 2 root N + 2 in the fullest window of 2 s. Cause: membership::share() only makes a cold server a rarer choice of each process; nothing bounds the sum (Balancer::may).

Change: routing::Ramp, a pure object: the calls allowed since the announcement, shared among the live processes of the fleet by rank, so that the sum is rounded once; who is lost sight of is still counted for as long as a ramp lasts, and a process that knows nobody counts a configured number and draws its part of the rounding. Balancer asks it in may() and weigh(); the gateway tells it the living once a second. Configured by `routing.slow_start`; off without it, and on the platform.

--- a/src/config/routing.cpp
+++ b/src/config/routing.cpp
@@ -10,7 +10,7 @@
     if (!at) return;
     r.only(at, "routing",
            {"policy", "place", "node", "spill", "most_in_hand", "subset", "retries", "hedging", "affinity", "probes", "probing", "members",
-            "kept", "watch_ms", "most_gone"});
+            "kept", "watch_ms", "most_gone", "slow_start"});
     const auto flag = [&](const YAML::Node& map, const char* name, bool otherwise) {
         bool b = otherwise;
         if (map[name] && !YAML::convert<bool>::decode(map[name], b)) r.fail(map[name], name, "neither true nor false");
@@ -74,6 +74,15 @@
         k.probe_every = r.span(m, "probe_ms", 50.0, 2000.0);
         if (k.eject_most < k.eject_for) r.fail(m["eject_most_ms"], "eject_most_ms", "below eject_ms");
     }
+    if (const YAML::Node s = at["slow_start"]) {
+        r.only(s, "slow_start", {"calls_per_s", "from", "window_ms", "peers"});
+        to.ramp.calls_per_s = r.number(s, "calls_per_s", 0.001, 1e6, needed);
+        to.ramp.from = r.number(s, "from", 0.0, 1.0, 0.2);
+        to.ramp.window = r.span(s, "window_ms", 10.0, 2000.0);
+        to.ramp.peers = r.number(s, "peers", 1.0, 1e5, 32.0);
+        if (fleet && to.node.empty()) r.fail(s, "slow_start", "needs a node, by whose name the calls are shared out");
+    }
+    to.ramp.warm_for = to.members.slow_start;
     if (const YAML::Node k = at["kept"]) {
         r.only(k, "kept", {"of_one", "in_all", "idle_ms", "age_ms"});
         to.kept = r.whole(k, "of_one", 0.0, 1e4, 4.0);
--- a/src/config/routing.hpp
+++ b/src/config/routing.hpp
@@ -20,6 +20,7 @@
     curlewreel::Span probe_patience{10'000};  // probe-first: a call goes then, whoever has answered
     bool affinity = false;  // requests of one Lookup-Key go to one server, while it is not overloaded
     routing::AttemptRules attempts;
+    routing::RampRules ramp;  // warm_for is the members' slow start
     membership::Rules members;
     std::uint32_t kept = 4, kept_in_all = 64;  // idle connections, of one server and in all; 0: none
     curlewreel::Span kept_idle{5'000'000}, kept_age{60'000'000};
--- a/src/emulator/spread.cpp
+++ b/src/emulator/spread.cpp
@@ -130,7 +130,7 @@
         b.members = std::make_unique<membership::Membership>();
         b.members->use(Time(now_), specs_, random_);
         b.balancer = std::make_unique<routing::Balancer>(*b.members, rules);
-        if (s_.subset != 0) b.balancer->peers(names(active_));
+        if (s_.subset != 0) b.balancer->peers(Time(now_), names(active_));
         b.balancer->refresh();
     }
 
@@ -357,7 +357,7 @@
                 for (std::size_t p = before; p < active_; ++p) begin(processes_[p], p);
                 if (s_.subset == 0 || !by_balancer()) return;
                 const auto now = names(active_);
-                for (std::size_t p = 0; p < active_; ++p) processes_[p].balancer->peers(now);
+                for (std::size_t p = 0; p < active_; ++p) processes_[p].balancer->peers(Time(now_), now);
                 moved(before);
                 return;
             }
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -49,7 +49,7 @@
     if (all_.empty())
         for (const No no : listed)
             if (members_.usable(no)) all_.push_back(no);
-    stale_ = true;
+    stale_ = ramps_stale_ = true;
     pool_.servers(all_.size());
     if (!asks()) return;
     std::vector<double> weights;
@@ -60,6 +60,7 @@
 void Balancer::retune(BalancerRules rules) {
     rules_ = std::move(rules);
     pool_.retune(rules_.probing);
+    ramp_.retune(rules_.ramp);
     parted_.clear();
     refresh();
 }
@@ -75,16 +76,31 @@
     return part_;
 }
 
-void Balancer::peers(std::vector<std::string> names) {
+void Balancer::peers(Time now, std::vector<std::string> names) {
     std::sort(names.begin(), names.end());
+    if (!names.empty()) ramp_.sharers(now, names, rules_.node);
     if (names == peers_) return;
     peers_ = std::move(names);
     parted_.clear();
     if (rules_.subset != 0) refresh();
 }
 
+// A server is cold from its announcement, and again when it comes back after failures, whose cause is not known.
+void Balancer::ramps(Random& random) {
+    if (!std::exchange(ramps_stale_, false) || !ramp_.on()) return;
+    for (const No no : members_.listed()) {
+        const membership::Member& m = members_.at(no);
+        using membership::State;
+        if (m.state != State::joining && m.state != State::suspect)
+            ramp_.end(no);
+        else if (!ramp_.runs(no, m.since))
+            ramp_.begin(no, m.spec, m.since, random);
+    }
+}
+
 std::optional<balance::Load> Balancer::weigh(Time now, No no, balance::Load load) const {
     const auto state = members_.at(no).state;
+    if (!ramp_.may(now, no)) return std::nullopt;
     // Guards a server that is suspect or in its slow start against the pull of its own idleness.
     if (state != membership::State::ready && state != membership::State::joining) return std::nullopt;
     load.capacity *= std::max(1e-3, members_.share(now, no));
@@ -108,6 +124,7 @@
 
 void Balancer::started(Time now, No no) {
     members_.started(no);
+    ramp_.took(now, no);
     loads_[no].out_since += seconds(now);
     ++in_hand_;
     near_in_hand_ += is_near_[no] ? 1 : 0;
@@ -152,7 +169,8 @@
 
 bool Balancer::may(Time now, No no, const std::vector<No>& tried, bool shunned_too) const {
     const membership::Member& m = members_.at(no);
-    return (shunned_too || !shunned(now, no)) && members_.usable(no) && (rules_.most_in_hand == 0 || m.in_hand < rules_.most_in_hand) && !among(tried, no);
+    return (shunned_too || !shunned(now, no)) && members_.usable(no) &&
+           (rules_.most_in_hand == 0 || m.in_hand < rules_.most_in_hand) && !among(tried, no) && ramp_.may(now, no);
 }
 
 const std::vector<No>& Balancer::near() const {
@@ -237,6 +255,7 @@
 }
 
 No Balancer::pick(Time now, std::uint64_t key, const std::vector<No>& tried, Random& random) {
+    ramps(random);
     const No no = choose(now, key, tried, random, false);
     return no != nobody ? no : choose(now, key, tried, random, true);  // shunned is better than none
 }
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -10,6 +10,7 @@
 #include "balance/probes.hpp"
 #include "membership/membership.hpp"
 #include "routing/maglev.hpp"
+#include "routing/ramp.hpp"
 
 namespace cressledge::routing {
 
@@ -38,11 +39,13 @@
     std::string node;  // this process's name, for its subset
     balance::ProbeRules probing;
     double bounded_load = 1.25;  // times the mean, for a key's own server
+    RampRules ramp;  // of a cold server, over the whole fleet
 };
 
 class Balancer {
 public:
-    Balancer(Membership& members, BalancerRules rules) : members_(members), rules_(std::move(rules)), pool_(rules_.probing, 0) {}
+    Balancer(Membership& members, BalancerRules rules)
+        : members_(members), rules_(std::move(rules)), pool_(rules_.probing, 0), ramp_(rules_.ramp) {}
 
     void refresh();  // the inventory or a state has changed
     void retune(BalancerRules rules);  // from the next choice on; what was learned of servers stays
@@ -57,9 +60,9 @@
     void heard(Time now, No no, const balance::Load& load);
     // Whom to ask for its load beside one more call, or before it: by chance, by weight. None with other policies.
     void ask(Random& random, std::vector<No>& whom);
-    // The live processes of the fleet, this one with them: subsets are shared out among them evenly. Empty: each
-    // process chooses by its own name alone.
-    void peers(std::vector<std::string> names);
+    // The live processes of the fleet, this one with them: subsets and the calls to a cold server are shared out among
+    // them evenly. Empty: each process chooses by its own name alone. Told again now and then: it says who lives.
+    void peers(Time now, std::vector<std::string> names);
     void shun(No no, Time until);  // others first until then
     bool shunned(Time now, No no) const { return loads_[no].shun > now; }
     double cost(Time now, No no) const;
@@ -82,6 +85,7 @@
     No of_two(Time now, const std::vector<No>& from, const std::vector<No>& tried, Random& random, bool shunned_too) const;
     No by_key(Time now, std::uint64_t key, const std::vector<No>& tried, bool shunned_too);
     const std::vector<No>& near() const;
+    void ramps(Random& random);  // those that began or ended with the last refresh()
     bool asks() const { return rules_.policy == Policy::probe_pool || asks_first(); }
     const std::vector<std::uint32_t>& own_part(const std::vector<std::string>& names);
 
@@ -100,6 +104,8 @@
     std::vector<std::uint32_t> asked_;
     std::vector<std::string> peers_, parted_;  // parted_: the servers that part_ is of; empty: none
     std::vector<std::uint32_t> part_;
+    Ramp ramp_;
+    bool ramps_stale_ = false;
 };
 
 }  // namespace cressledge::routing
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -27,6 +27,7 @@
     b.subset = r.subset;
     b.node = r.node;
     b.probing = r.probing;
+    b.ramp = r.ramp;
     return b;
 }
 
--- a/src/upstream/executor.hpp
+++ b/src/upstream/executor.hpp
@@ -57,7 +57,7 @@
 
     learning::Servers learned() const;  // by name, of the servers in force
     // The live processes of the fleet, by id, this one with them.
-    void peers(std::vector<std::string> names) { balancer_.peers(std::move(names)); }
+    void peers(std::vector<std::string> names) { balancer_.peers(clock_.unix_now(), std::move(names)); }
     void restore(const learning::Servers& servers);  // those that mostly failed are tried last for a second
 
     void run(const core::Work& work) override;
--- a/src/upstream/gateway.hpp
+++ b/src/upstream/gateway.hpp
@@ -79,7 +79,6 @@
     std::vector<config::Upstream> servers_;  // in force
     std::unique_ptr<net::Watch> watch_;
     core::Deadlines::Handle look_ = 0, look_at_fleet_ = 0, join_ = 0;
-    std::uint64_t fleet_seen_ = 0;  // its digest
     std::vector<admission::Descriptors::Lease> kept_open_;  // the store's files
     std::unique_ptr<learning::Keeper> keeper_;  // null: nothing is kept
     std::unique_ptr<gossip::Node> gossip_;
--- a/tests/cressledge/balance_test.cpp
+++ b/tests/cressledge/balance_test.cpp
@@ -205,7 +205,7 @@
         routing::Balancer b(members, rules);
         b.refresh();
         CHECK(b.candidates().size() == 5);
-        b.peers(processes);
+        b.peers(Time(0), processes);
         CHECK(b.candidates().size() == 5);
         for (const No no : b.candidates()) ++used[no];
     }
