An answer cut off by a reset is none; a control call that lies unread is answered before the close

Cause: Upstream::Attempt::on_end asked Reader::end() whatever had ended the connection, so an answer up to the connection's end (SCGI or HTTP without a length) that a reset cut off passed for whole, and its half went out as 200. Control::take and the deadline of a call closed the oldest connection over a whole call that lay unread; a call already answered kept its descriptor for the full linger.

Change: only the server's own last byte ends such an answer; otherwise the request fails, and an unsafe one is not called again. Before a control connection is ended what has come is read; an answered one goes with its caller's last byte.

Checked: a break under a call with a length (broken before and now); stale kept connections (safe calls only).

--- a/src/front/control/control.cpp
+++ b/src/front/control/control.cpp
@@ -79,8 +79,9 @@
         if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) reply("400 Bad Request", "bad call\n");
     }
     bool on_eof() override {
+        if (done_) return stream_->unsent();  // both sides are through, or the deadline ends it
         // Guards the table against a caller that ends without a whole call: nothing more can make it whole.
-        if (!done_) reply("400 Bad Request", "cut short\n");
+        reply("400 Bad Request", "cut short\n");
         return true;
     }
     void on_end(bool) override {
@@ -96,6 +97,11 @@
         deadline_ = control_.deadlines_.at(control_.loop_.unix_now() + linger,
                                            [c = &control_, no = no_] { c->end(no); });
     }
+    // Before it is ended: a call that lies whole in the socket is answered, and no close goes over unread bytes.
+    bool read_out() {
+        if (!done_ && stream_ != nullptr) stream_->read_now();
+        return done_;
+    }
     int grow(std::size_t n) {
         head_ += n;
         too_long_ = head_ > most_head;
@@ -127,6 +133,7 @@
             // Guards readiness against callers that hold connections open: the oldest goes for the newcomer.
             const core::SlotNo oldest = order_.front();
             ++crowded_out_;
+            calls_.find(oldest)->read_out();
             end(oldest);
         }
         auto lease = descriptors_.take(loop_.unix_now(), admission::Purpose::control);
@@ -144,8 +151,9 @@
         }
         order_.push_back(mine);
         call->deadline_ = deadlines_.at(loop_.unix_now() + whole, [this, mine] {
-            if (Call* c = calls_.find(mine); c != nullptr) c->deadline_ = 0;
-            end(mine);
+            Call* c = calls_.find(mine);
+            if (c != nullptr) c->deadline_ = 0;
+            if (c == nullptr || !c->read_out()) end(mine);
         });
     }
 }
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -39,6 +39,10 @@
     ~Attempt() override;
     void on_open() override;
     void on_bytes(std::string_view bytes) override;
+    bool on_eof() override {
+        ended = true;
+        return false;
+    }
     void on_end(bool refused) override;
     void judge(Reader::Got got);
     void send();
@@ -51,6 +55,7 @@
     core::Time since{0}, born{0};
     core::Deadlines::Handle late = 0;
     bool sent = false, reused = false, answered = false, counted = false;  // answered: a byte has come back
+    bool ended = false;  // by the server's own last byte
 };
 
 struct Upstream::Job {
@@ -201,7 +206,8 @@
     stream = nullptr;
     if (counted) return;
     if (refused && !sent) return upstream.settle(*this, Result::refused, true);
-    const Reader::Got got = reader ? reader->end() : Reader::Got::broken;
+    // Guards against an answer up to the end of its connection that is cut off by a reset: it is not whole.
+    const Reader::Got got = reader && ended ? reader->end() : Reader::Got::broken;
     judge(got == Reader::Got::more ? Reader::Got::broken : got);
 }
 void Upstream::Attempt::judge(Reader::Got got) {
--- a/tests/cressledge/control_front_test.cpp
+++ b/tests/cressledge/control_front_test.cpp
@@ -1,7 +1,7 @@
 // Stories of the control address: readiness and figures, for one call a connection, whatever other callers do.
 #include "admission/descriptors.hpp"
 #include "front/control/control.hpp"
-#include "support.hpp"
+#include "hall.hpp"
 
 namespace {
 
@@ -93,3 +93,32 @@
     }
     CHECK(d.control.crowded_out() >= front::control::Control::most);
 }
+
+TEST_CASE("a call that lies unread when its connection makes room, or its time is over, is answered before the close") {
+    Desk d;
+    d.told.up = true;
+    {  // makes room
+        std::vector<std::unique_ptr<Raw>> silent;
+        for (std::size_t n = 0; n < front::control::Control::most; ++n) silent.push_back(std::make_unique<Raw>(d.control.port()));
+        for (int i = 0; i < 20; ++i) d.w.loop.turn(false);
+        Raw newcomer(d.control.port());  // the listening socket is ready first, then the oldest's call
+        silent.front()->send(get("/v1/readyz"));
+        d.w.until([&] { return silent.front()->over(); });
+        CHECK(silent.front()->has("HTTP/1.1 200 OK"));
+        CHECK_FALSE(silent.front()->reset);
+        newcomer.send(get("/v1/readyz"));
+        d.w.until([&] { return newcomer.over(); });
+        CHECK(newcomer.has("HTTP/1.1 200 OK"));
+    }
+    {  // its time is over: the loop has not read the call's second half
+        Raw late(d.control.port()), silent(d.control.port());
+        late.send(get("/v1/readyz").substr(0, 9));
+        for (int i = 0; i < 20; ++i) d.w.loop.turn(false);
+        late.send(get("/v1/readyz").substr(9));
+        d.w.deadlines.run(wall() + Span(5'000'000));
+        d.w.until([&] { return late.over() && silent.over(); });
+        CHECK(late.has("HTTP/1.1 200 OK"));
+        CHECK_FALSE(late.reset);
+        CHECK(silent.got.empty());
+    }
+}
--- a/tests/cressledge/ending_test.cpp
+++ b/tests/cressledge/ending_test.cpp
@@ -192,12 +192,12 @@
 }
 
 TEST_CASE("ending: a last answer larger than the system takes at once reaches a peer that has shut its side") {
-    Hall h(Speaks::http);
-    auto r = h.resting();
+    Hall h(Speaks::http, {}, 64, Span(3'000'000), settings(), 8'192);
+    auto r = h.resting(4'096);
     r->send(h.request());
     h.w.until([&] { return h.running.size() == 1; });
     h.front().leave();
-    const std::string large(200'000, 'm');
+    const std::string large(240'000, 'm');
     for (const core::RequestNo no : std::exchange(h.running, {})) h.server.ended(no, core::End::pass, large);
     r->half_close();  // behind its answer, of which most is still to be written
     for (int i = 0; i < 3; ++i) h.w.loop.turn(false);
--- a/tests/cressledge/hall.hpp
+++ b/tests/cressledge/hall.hpp
@@ -20,7 +20,7 @@
 // A client that acts while the loop does not turn. The system completes its connection in the backlog.
 class Raw {
 public:
-    explicit Raw(int port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    explicit Raw(int port, int receives = 0) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         sockaddr_in to{};
         to.sin_family = AF_INET;
         to.sin_port = htons(static_cast<std::uint16_t>(port));
@@ -28,13 +28,16 @@
         // What it sends is on its way when send() returns: the system must not hold a second small write back.
         const int on = 1;
         ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        if (receives > 0) ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receives, sizeof receives);
         refused = ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0;
     }
     ~Raw() { ::close(fd_); }
     Raw(const Raw&) = delete;
     Raw& operator=(const Raw&) = delete;
     void send(const std::string& b) const { REQUIRE(::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size())); }
-    bool try_send(const std::string& b) const { return ::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size()); }
+    void try_send(const std::string& b) {  // the system tells of a reset once: here, if this is the first to ask
+        if (::send(fd_, b.data(), b.size(), MSG_NOSIGNAL) < 0) reset = reset || errno == ECONNRESET;
+    }
     void half_close() const { ::shutdown(fd_, SHUT_WR); }
     void close() { ::close(std::exchange(fd_, -1)); }
     void take() {  // what has come so far
@@ -94,6 +97,13 @@
         needs.lobby = 4;
         return admission::plan(256, 0, needs, connections);
     }
+    // `sends`: bytes that the system takes from the program for each connection before the peer does; 0: its own measure.
+    static net::Listening listening(int sends) {
+        if (sends == 0) return net::Listening{at(0)};
+        const int fd = net::listening_socket(at(0));
+        ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sends, sizeof sends);
+        return {at(0), fd};
+    }
     static admission::Settings admitted(const admission::Plan& plan) {
         admission::Settings s;
         s.connections = plan.connections;
@@ -101,14 +111,14 @@
         return s;
     }
     explicit Hall(Speaks wire, front::Front::Limits limits = {}, std::uint32_t connections = 64, Span stop = Span(3'000'000),
-                  const curlewreel::Settings& s = settings())
+                  const curlewreel::Settings& s = settings(), int sends = 0)
         : speaks(wire), plan(planned(connections)), descriptors(plan), runs(new Runs(s)),
           server(s, std::unique_ptr<curlewreel::Controller>(runs), w.loop, w.deadlines),
           porter(w.deadlines, server, descriptors, admitted(plan), 1), doors(w.loop, w.deadlines, server, stop) {
         server.attach(*this, *this, *this);
         server.start(wall());
         doors.add(std::make_unique<front::Front>(
-            w.loop, w.deadlines, server, porter, net::Listening{at(0)}, limits, [this](front::Front& f) -> std::unique_ptr<front::Session> {
+            w.loop, w.deadlines, server, porter, listening(sends), limits, [this](front::Front& f) -> std::unique_ptr<front::Session> {
                 if (speaks == Speaks::scgi) return std::make_unique<front::scgi::ScgiSession>(f, supply);
                 return std::make_unique<front::http::HttpSession>(f, &supply);
             }));
@@ -145,8 +155,9 @@
         return std::to_string(head.size()) + ':' + head + ',' + body;
     }
     // A connection that has been accepted and has nothing in hand: over HTTP one that has been answered before.
-    std::unique_ptr<Raw> resting() {
-        auto r = std::make_unique<Raw>(front().port());
+    // `receives`: bytes that the system takes for it before it reads.
+    std::unique_ptr<Raw> resting(int receives = 0) {
+        auto r = std::make_unique<Raw>(front().port(), receives);
         const std::size_t had = connections();
         w.until([&] { return connections() == had + 1; }, true);
         if (speaks == Speaks::scgi) return r;
--- a/tests/cressledge/platform_test.cpp
+++ b/tests/cressledge/platform_test.cpp
@@ -3,7 +3,7 @@
 #include <unistd.h>
 
 #include "platform/node.hpp"
-#include "support.hpp"
+#include "hall.hpp"
 
 namespace {
 
@@ -541,6 +541,38 @@
     }
 }
 
+TEST_CASE("idle clients fill the descriptors while the directory is down: all other links are still made, and reports resume") {
+    Site s(Span(3'000'000), true, true);
+    s.w.until([&] { return s.lookup.has("PUT /dir/nodes/n3"); });
+    const int directory = s.lookup.port();
+    s.lookup.listener->close();
+    s.lookup.peers.clear();  // the connection breaks, and nobody takes another
+    std::vector<std::unique_ptr<Raw>> idle;
+    for (int n = 0; n < 120; ++n) {  // twice what the process may hold; a third of them with half a line
+        idle.push_back(std::make_unique<Raw>(s.node->port()));
+        if (n % 3 == 0) idle.back()->try_send("POST /v1/trail-sheet HTTP/1.1\r\nTrace-");
+    }
+    for (int i = 0; i < 50; ++i) s.w.loop.turn(false);
+    // The engine: its link breaks, and is made anew.
+    const std::size_t links = s.engine.peers.size();
+    s.engine.last().close();
+    s.w.until([&] { return s.engine.peers.size() > links && s.engine.last().has("ATTACH "); });
+    s.hello();
+    // A caller, and the records service: the call has a connection of its own.
+    auto caller = s.caller();
+    const std::string name = s.ask(*caller, "trail-sheet", "x");
+    s.engine.last().send("NEED 1 " + name + " 1\r\nq\r\n");
+    s.w.until([&] { return s.records.has("OP " + name); });
+    s.records.last().send(name + " DONE 1\r\nr\r\n");
+    s.w.until([&] { return s.engine.has("FEED " + name + " 1\r\nr\r\n"); });
+    s.engine.last().send("DONE 2 " + name + " PASS 1 3\r\nmap\r\n");
+    s.get(*caller, "\r\n\r\nmap");
+    // The control address; then the directory is back, and hears at once again.
+    CHECK(s.control("/v1/readyz").rfind("HTTP/1.1 200 OK", 0) == 0);
+    s.lookup.listen(s.w.loop, directory);
+    s.w.until([&] { return s.lookup.has("PUT /dir/nodes/n3") && s.lookup.has("\"open\""); });
+}
+
 TEST_CASE("a retune takes new classes for new requests, open ones keep theirs, and a bad file changes nothing") {
     Site s(Span(3'000'000), true, true);
     Folder f;
--- a/tests/cressledge/scgi_test.cpp
+++ b/tests/cressledge/scgi_test.cpp
@@ -1,4 +1,7 @@
 // Stories of the operator's set-up: small SCGI clients and servers of our own, on loopback.
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "support.hpp"
 #include "upstream/gateway.hpp"
 
@@ -148,6 +151,60 @@
     CHECK(both() == 1);
 }
 
+namespace {
+
+// A server that acts by plain system calls: it can break a connection off by a reset, which a Peer cannot.
+struct RawServer {
+    int listening = net::listening_socket(at(0)), fd = -1;
+    std::string got;
+    std::size_t calls = 0;
+    ~RawServer() { ::close(listening), ::close(fd); }
+    bool has(const std::string& part) {
+        char b[4096];
+        if (fd < 0 && (fd = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK)) >= 0) ++calls;
+        for (ssize_t n = 0; fd >= 0 && (n = ::recv(fd, b, sizeof b, 0)) > 0;) got.append(b, static_cast<std::size_t>(n));
+        return got.find(part) != std::string::npos;
+    }
+    void send(const std::string& b) const { REQUIRE(::send(fd, b.data(), b.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(b.size())); }
+    void reset() {
+        const linger now{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        ::close(std::exchange(fd, -1));
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(net::port_of(listening)); }
+};
+
+}  // namespace
+
+TEST_CASE("an answer up to the connection's end that a reset cuts off is no answer, and what is unsafe is never called again") {
+    for (const std::string& protocol : {std::string("scgi"), std::string("http")}) {
+        Office o;
+        RawServer raw;
+        const bool scgi = protocol == "scgi";
+        o.folder.write("servers.csv", "name,address,protocol,group\nup," + raw.address() + ',' + protocol + ",maps\n");
+        o.gateway->reload();
+        auto c = o.ask(Office::scgi("/map-order", "pay"));
+        o.w.until([&] { return raw.has(scgi ? ",pay" : "\r\n\r\npay"); }, false);
+        raw.send(std::string(scgi ? "Status: 200 OK" : "HTTP/1.1 200 OK") + "\r\n\r\nhalf a rec");
+        // The program has read the half before the reset comes: nothing but the reset tells that it is one.
+        for (int i = 0; i < 5; ++i) o.w.loop.turn(false);
+        raw.reset();
+        CHECK(o.status(*c) == "Status: 502 Bad Gateway");
+        CHECK(c->got.find("half") == std::string::npos);
+        CHECK_FALSE(raw.has("never"));
+        CHECK(raw.calls == 1);
+        CHECK(o.gateway->server().counts().failed == 1);
+        // The same bytes, ended by the server itself, are an answer.
+        auto d = o.ask(Office::scgi("/map-order", "pay"));
+        raw.got.clear();
+        o.w.until([&] { return raw.has(scgi ? ",pay" : "\r\n\r\npay"); }, false);
+        raw.send(std::string(scgi ? "Status: 200 OK" : "HTTP/1.1 200 OK") + "\r\n\r\nhalf a rec");
+        ::close(std::exchange(raw.fd, -1));
+        CHECK(o.status(*d) == "Status: 200 OK");
+        CHECK(d->has("half a rec"));
+    }
+}
+
 TEST_CASE("a refused connection proves that nothing ran: the next server is called") {
     Office o;
     o.folder.write("servers.csv", "name,address,protocol,group\nup," + o.server.address() +
