--- a/src/config/node.hpp
+++ b/src/config/node.hpp
@@ -24,7 +24,11 @@
 };
 
 std::string read_file(const std::string& path);  // throws Invalid
-Node node_from_json(const std::string& source);
-Node load_node(const std::string& path);  // names the file in what it throws
+struct InvalidAt final : Invalid {
+    InvalidAt(std::size_t at, const std::string& what) : Invalid(what), line(at) {}
+    const std::size_t line;  // from 1: where the fault stands; of what is missing, where it would belong
+};
+Node node_from_json(const std::string& source);  // throws InvalidAt
+Node load_node(const std::string& path);  // throws Invalid with file and line
 
 }  // namespace cressledge::config
--- a/tests/cressledge/config_test.cpp
+++ b/tests/cressledge/config_test.cpp
@@ -269,6 +269,22 @@
     CHECK(complaint([&] { config::node_from_json(without); }) == "missing text: records");
     CHECK(complaint([&] { config::node_from_json(good.substr(0, good.size() / 2)); }) == "not a JSON object");
     CHECK(complaint([] { config::node_from_json(""); }) == "not a JSON object");
+    CHECK(with("\"effect\":\"single_shot\"", "\"effect\":\"guarded\",\"repeat-window\":0") ==
+          "settings: class a: the repeat-window is not a number above 0");
+    // A file is named with the line.
+    Folder f;
+    std::string lines = good;
+    for (const std::string& comma : {std::string("\"engine\""), std::string("\"settings\""), std::string("\"deadline\"")}) lines.insert(lines.find(comma), "\n");
+    const auto of = [&](std::string text, const std::string& from, const std::string& to) {
+        text.replace(text.find(from), from.size(), to);
+        const std::string path = f.write("n.json", text), all = complaint([&] { config::load_node(path); });
+        REQUIRE(all.rfind("n.json:", 0) == 0);  // complaint() leaves the folder out
+        return all.substr(std::string("n.json:").size());
+    };
+    CHECK(of(lines, "\"deadline\":900", "\"deadline\":0") == "4: " + deadline);
+    CHECK(of(lines, "\"engine\":\"e\"", "\"engine\":3") == "2: missing text: engine");
+    CHECK(of(lines, "\"cores\":6", "\"cores\":\"six\"") == "3: missing number: cores");
+    CHECK(of(lines, "\"cores\":6", "\"cores\":6,,") == "4: not a JSON object");
 }
 
 }  // namespace
