Who finds no seat, waits at the exit for a descriptor, or whose key has no room, is told so

A connection without a seat or a place in the lobby was closed over the request that had come with it (Front::accept), which resets it; a source has one place of four in the lobby, so a flood gets there soon. Who was in the backlog when the process was to leave and no descriptor was free was reset with the listening socket (Front::leave). A keyed request beyond 65,536 keys was run unremembered, and its repeat would have run again (Server::carry(Keep)).

Tests on both fronts, each seen failing with its fix out.

--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -90,12 +90,15 @@
 // ---- events ----
 
 RequestNo Server::arrive(Arrival arrival, Responder& responder, std::uint64_t ticket) {
-    if (entries_.size() >= most_entries || !started_) {
+    // Guards what may run once against a table that has no room left to remember that it did.
+    const bool forgets = kept_.size() >= most_keys && !arrival.key.empty() &&
+                         settings().classes.at(arrival.kind).effect == Effect::keyed && kept_.count(key_of(settings(), arrival)) == 0;
+    if (entries_.size() >= most_entries || !started_ || forgets) {
         // Guards the memory limit against more requests than any budget of the Controller's would hold.
         std::uint64_t passed = 0;
         if (unseen_.may(clock_.unix_now(), passed))
             spdlog::warn("refused unseen: {}; {} more like it",
-                         started_ ? "the table of requests is full" : "engine not up yet", passed);
+                         !started_ ? "engine not up yet" : forgets ? "the table of keys is full" : "the table of requests is full", passed);
         turn_away(responder, ticket, settings().max_retry_after, arrival.kind);
         return 0;
     }
--- a/src/front/doors.cpp
+++ b/src/front/doors.cpp
@@ -29,9 +29,10 @@
 }
 
 void Doors::settle() {
+    const core::Time now = server_.now(), stop = server_.stop_at();
+    for (const auto& f : fronts_) f->empty_backlog(now >= stop - unwhole_before);
     const bool owed = server_.unanswered() > 0 ||
                       std::any_of(fronts_.begin(), fronts_.end(), [](const auto& f) { return f->owes(); });
-    const core::Time now = server_.now(), stop = server_.stop_at();
     // Half a request owes nothing: it gets the time that the others need, and no more.
     if (!owed || now >= stop - unwhole_before)
         for (const auto& f : fronts_) f->end_unwhole();
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -263,13 +263,15 @@
     const auto entry = porter_.enter(door_, no, s->stream_->peer().ip());
     s->seat_ = entry.seat;
     if (entry.seat == 0) {
-        // It hears at once that it has to go elsewhere.
-        s->stream_->close();
-        sessions_.erase(no);
+        // It hears at once that it has to go elsewhere, with an answer if its request came along. Not lingered for: others
+        // wait for the descriptor.
+        s->evict();
+        if (s->stream_ != nullptr) s->bury();
         return true;
     }
     s->turned_away_ = entry.refused;
     s->whole_by(server_.now() + (entry.refused ? lobby_wait : limits_.whole));
+    if (leaving_) s->drain();
     return true;
 }
 
@@ -294,22 +296,34 @@
 void Front::notice() {
     if (!shared_ || leaving_) return;
     handing_over_ = true;
-    listener_.close();
-    own_.release();
+    stop_listening();
 }
 
 void Front::leave() {
     if (leaving_) return;
-    // Who is in the backlog has been accepted by the system, with a request perhaps: closing the socket would reset him.
-    for (std::size_t n = 0; n < most_last && !handing_over_; ++n) {
+    leaving_ = true;
+    for (const core::SlotNo no : sessions_.numbers())
+        if (Session* s = sessions_.find(no); s != nullptr) s->drain();
+    empty_backlog(false);
+}
+
+// Who is in the backlog has been accepted by the system, with a request perhaps: closing the socket would reset him.
+void Front::empty_backlog(bool last) {
+    if (!listening_) return;
+    bool more = true, short_of_descriptors = false;
+    for (std::size_t n = 0; n < most_last && more && !short_of_descriptors; ++n) {
         auto lease = porter_.descriptor();
-        if (!lease || !accept(std::move(lease))) break;
+        short_of_descriptors = !lease;
+        if (lease) more = accept(std::move(lease));
     }
-    leaving_ = true;
+    if (short_of_descriptors && !last) return listener_.pause(true);  // some are given back as others end
+    stop_listening();
+}
+
+void Front::stop_listening() {
+    listening_ = false;
     listener_.close();
     own_.release();
-    for (const core::SlotNo no : sessions_.numbers())
-        if (Session* s = sessions_.find(no); s != nullptr) s->drain();
 }
 
 void Front::end_unwhole() {
@@ -319,7 +333,7 @@
 
 bool Front::owes() {
     const auto all = sessions_.numbers();
-    return std::any_of(all.begin(), all.end(), [this](core::SlotNo no) {
+    return listening_ || std::any_of(all.begin(), all.end(), [this](core::SlotNo no) {
         const Session* s = sessions_.find(no);
         return s != nullptr && (s->busy_ || s->life_.lingers());
     });
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -93,8 +93,9 @@
     // next waits in its backlog for the next process; one of our own is kept until leave(), as nobody else has it.
     void notice();
     void leave();  // take nobody new, end idle connections, and the others with their answer
+    void empty_backlog(bool last);  // after leave(), until it is done; the last time it is done for better or worse
     void end_unwhole();  // after leave(): the connections that have sent nothing, or half a request only
-    bool empty() const { return sessions_.size() == 0; }
+    bool empty() const { return sessions_.size() == 0 && !listening_; }
     bool owes();  // some connection has a request in hand, or a last answer that may not have been read yet
     int port() const { return listener_.port(); }
     core::Server& server() { return server_; }
@@ -104,6 +105,7 @@
     void take();
     bool accept(admission::Descriptors::Lease lease);  // false: nobody is left in the backlog
     void remove(core::SlotNo no);
+    void stop_listening();
 
     net::Loop& loop_;
     core::Deadlines& deadlines_;
@@ -114,6 +116,7 @@
     const std::uint32_t door_;
     core::Slots<Session> sessions_;
     core::Span idle_{0};
+    bool listening_ = true;  // the listening socket is open
     bool leaving_ = false;
     const bool shared_;  // the listening socket is the platform's
     bool handing_over_ = false;  // and this process has given it up
--- a/tests/cressledge/core_test.cpp
+++ b/tests/cressledge/core_test.cpp
@@ -234,6 +234,26 @@
     CHECK(b.script->times[2] == b.script->times[1]);
 }
 
+TEST_CASE("what may run once is refused, never run, where no key can be remembered any more") {
+    auto s = settings();
+    s.classes[2].effect = curlewreel::Effect::keyed;
+    Bench b(s);
+    b.on<curlewreel::Request>([](const auto& r) {
+        return std::vector<Action>{curlewreel::Keep{r.id, Span(5'000'000)}, curlewreel::Run{r.id}};
+    });
+    for (std::size_t n = 0; n < 65'536; ++n) b.server.ended(b.arrive(2, "k" + std::to_string(n)), End::pass, "");
+    const std::size_t runs = b.did.size();
+    b.answers.clear();
+    CHECK(b.arrive(2, "one more") == 0);
+    REQUIRE(b.answers.size() == 1);
+    CHECK(b.answers[0].first == Verdict::refused);
+    CHECK(b.did.size() == runs);
+    CHECK(b.arrive(0, "a read") != 0);  // what needs no memory of it goes on
+    CHECK(b.arrive(2, "k7") != 0);  // and so does what is known
+    b.advance(Span(20'000'000));
+    CHECK(b.arrive(2, "one more") != 0);
+}
+
 TEST_CASE("a kept read shares its result, and what shared it ends with it") {
     auto s = settings();
     s.fresh = Span(1'000'000);
--- a/tests/cressledge/ending_test.cpp
+++ b/tests/cressledge/ending_test.cpp
@@ -140,6 +140,57 @@
     }
 }
 
+TEST_CASE("ending: who waits in the backlog for want of a descriptor when the process is to leave is answered in the end") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        auto asks = h.resting();
+        asks->send(h.request());
+        h.w.until([&] { return h.running.size() == 1; });
+        std::vector<admission::Descriptors::Lease> taken;  // all that the front might have
+        while (auto lease = h.descriptors.take(h.server.now(), admission::Purpose::front)) taken.push_back(std::move(lease));
+        Raw waits(h.front().port());
+        waits.send(h.request());
+        h.front().leave();
+        CHECK(h.read() == 1);
+        CHECK(h.front().owes());
+        h.serve_all();
+        h.served(*asks);
+        taken.clear();
+        h.front().empty_backlog(false);
+        CHECK(h.running.size() == 1);
+        h.serve_all();
+        h.served(waits);
+        asks->close();
+        waits.close();
+        h.w.until([&] { return h.front().empty(); });
+    }
+}
+
+TEST_CASE("ending: who finds neither a seat nor a place in the lobby is told so if his request came with him") {
+    for (const Speaks wire : both) {
+        Hall h(wire, {}, 2);
+        std::vector<std::unique_ptr<Raw>> in_hand, lobby;
+        for (int i = 0; i < 2; ++i) {
+            in_hand.push_back(h.resting());
+            in_hand.back()->send(h.request());
+        }
+        h.w.until([&] { return h.running.size() == 2; });
+        lobby.push_back(std::make_unique<Raw>(h.front().port()));  // one source has one place in it
+        h.w.until([&] { return h.porter.gate().in_lobby() == 1; }, true);
+        Raw asks(h.front().port()), silent(h.front().port());
+        asks.send(h.request());  // it lies there before he is accepted
+        h.w.until([&] { return asks.over() && silent.over(); });
+        INFO(asks.got);
+        CHECK(asks.has(" 503 "));
+        CHECK_FALSE(asks.reset);
+        CHECK(silent.got.empty());
+        CHECK_FALSE(silent.reset);
+        CHECK(h.running.size() == 2);
+        h.serve_all();
+        for (const auto& r : in_hand) h.w.until([&] { return r->has("a whole map"); });
+    }
+}
+
 TEST_CASE("ending: half a line and a connection that says nothing do not hold up the exit") {
     for (const Speaks wire : both) {
         front::Front::Limits limits;
