Connections that end otherwise than by their peer are counted by cause: node.connections.X

Counted in front::Ended, summed over both fronts in the figures of both set-ups. Test: ending_test, on both fronts.

--- a/src/front/doors.cpp
+++ b/src/front/doors.cpp
@@ -28,6 +28,17 @@
     });
 }
 
+void Doors::figures(std::vector<std::pair<std::string, std::uint64_t>>& out) const {
+    static constexpr std::pair<const char*, std::uint64_t Ended::*> all[] = {
+        {"malformed", &Ended::malformed}, {"overdue", &Ended::overdue},   {"cut_short", &Ended::cut_short}, {"idle", &Ended::idle},
+        {"evicted", &Ended::evicted},     {"unwhole", &Ended::unwhole}, {"flooding", &Ended::flooding},   {"unread", &Ended::unread}};
+    for (const auto& [name, which] : all) {
+        std::uint64_t n = 0;
+        for (const auto& f : fronts_) n += f->ended().*which;
+        out.emplace_back(std::string("node.connections.") + name, n);
+    }
+}
+
 void Doors::settle() {
     const core::Time now = server_.now(), stop = server_.stop_at();
     for (const auto& f : fronts_) f->empty_backlog(now >= stop - unwhole_before);
--- a/src/front/doors.hpp
+++ b/src/front/doors.hpp
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "front/front.hpp"
@@ -19,6 +21,8 @@
         for (const auto& f : fronts_) f->idle_limit(limit);
     }
     void leave();
+    // What ended connections, over all fronts: `node.connections.X`.
+    void figures(std::vector<std::pair<std::string, std::uint64_t>>& out) const;
 
 private:
     void settle();
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -23,7 +23,10 @@
     if (!life_.takes_requests()) {  // the write side is shut: what still comes is dropped, never run or sent on
         dropped_ += bytes.size();
         // Guards the processor against a peer that goes on sending: what has not read its answer now may lose it.
-        if (dropped_ > most_dropped) bury();
+        if (dropped_ > most_dropped) {
+            ++front_.ended_.flooding;
+            bury();
+        }
         return;
     }
     later_.append(bytes);
@@ -70,6 +73,7 @@
     // Its last bytes may lie in the socket, where this process has been too slow for them.
     if (stream_ != nullptr) stream_->read_now();
     if (stream_ == nullptr || busy_ || deadline_ != 0 || !life_.takes_requests()) return;
+    ++front_.ended_.overdue;
     if (!awaited()) return linger();  // nobody has asked anything
     say(too_slow(), true);
 }
@@ -114,6 +118,11 @@
     conclude(format(a, close), close);
 }
 
+void Session::malformed(const std::string& bytes, bool close) {
+    ++front_.ended_.malformed;
+    say(bytes, close);
+}
+
 void Session::say(const std::string& bytes, bool close) {
     front_.deadlines_.cancel(deadline_);
     whole_by_ = false;
@@ -133,7 +142,10 @@
     busy_ = false;
     request_ = 0;
     if (stream_ == nullptr) return;
-    if (!stream_->write(bytes)) return bury();  // a peer that reads nothing
+    if (!stream_->write(bytes)) {
+        ++front_.ended_.unread;
+        return bury();
+    }
     close = close || turned_away_;
     front_.porter_.gate().answered(front_.server_.now(), seat_, !close);
     resting_ = false;
@@ -167,6 +179,7 @@
 
 // What it had sent by now never ran and is told so; otherwise its descriptor is free at once.
 void Session::evict() {
+    ++front_.ended_.evicted;
     evicted_ = turned_away_ = true;
     const bool asked_nothing = life_.takes_requests() && !busy_;
     if (asked_nothing && stream_ != nullptr) stream_->read_now();
@@ -185,6 +198,7 @@
         // A request may have come in this very instant: then it does not rest.
         if (stream_ != nullptr) stream_->read_now();
         if (stream_ == nullptr || busy_ || deadline_ != 0 || !life_.takes_requests()) return;
+        ++front_.ended_.idle;
         front_.porter_.gate().answered(front_.server_.now(), seat_, false);
         linger();
     });
@@ -193,6 +207,7 @@
 bool Session::on_eof() {
     if (life_.lingers()) return stream_->unsent();  // it may read on: the deadline ends it
     if (busy_ || !life_.takes_requests() || !partial()) return false;
+    ++front_.ended_.cut_short;
     const std::string bytes = cut_short();
     if (bytes.empty()) return false;
     say(bytes, true);
@@ -328,7 +343,10 @@
 
 void Front::end_unwhole() {
     for (const core::SlotNo no : sessions_.numbers())
-        if (Session* s = sessions_.find(no); s != nullptr && !s->busy_ && s->stream_ != nullptr) s->linger();
+        if (Session* s = sessions_.find(no); s != nullptr && !s->busy_ && s->stream_ != nullptr && s->life_.takes_requests()) {
+            ++ended_.unwhole;
+            s->linger();
+        }
 }
 
 bool Front::owes() {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -39,6 +39,7 @@
 
     void submit(core::Arrival arrival);
     void check(bool deep);
+    void malformed(const std::string& bytes, bool close);  // the answer to what is no request, counted
     void say(const std::string& bytes, bool close);  // an answer that needs no core
     void interim(std::string_view bytes);  // bytes ahead of the final answer
     Front& front_;
@@ -99,6 +100,7 @@
     bool owes();  // some connection has a request in hand, or a last answer that may not have been read yet
     int port() const { return listener_.port(); }
     core::Server& server() { return server_; }
+    const Ended& ended() const { return ended_; }
 
 private:
     friend class Session;
@@ -111,6 +113,7 @@
     core::Deadlines& deadlines_;
     core::Server& server_;
     const Limits limits_;
+    Ended ended_;
     const Make make_;
     Porter& porter_;
     const std::uint32_t door_;
--- a/src/front/http/session.cpp
+++ b/src/front/http/session.cpp
@@ -156,7 +156,7 @@
     spdlog::debug("http: answered {} {}", status, why);
     const std::string line = std::to_string(status) + ' ' + why;
     reset();
-    say(message(line.c_str(), {}, {}, close), close);
+    malformed(message(line.c_str(), {}, {}, close), close);
 }
 
 void HttpSession::whole() {
--- a/src/front/lifecycle.hpp
+++ b/src/front/lifecycle.hpp
@@ -38,4 +38,16 @@
     Phase phase_ = Phase::open;
 };
 
+// Connections that ended otherwise than by their peer, by what ended them; an answer may have gone before.
+struct Ended {
+    std::uint64_t malformed = 0;  // what it sent is no request: answered 4xx
+    std::uint64_t overdue = 0;  // its request did not get whole in time
+    std::uint64_t cut_short = 0;  // it shut its side in the middle of a request
+    std::uint64_t idle = 0;  // it rested too long
+    std::uint64_t evicted = 0;  // its place or descriptor was another's
+    std::uint64_t unwhole = 0;  // at the exit: it had sent nothing, or half a request
+    std::uint64_t flooding = 0;  // it sent on and on behind its last answer
+    std::uint64_t unread = 0;  // it did not read its answers
+};
+
 }  // namespace cressledge::front
--- a/src/front/scgi/session.cpp
+++ b/src/front/scgi/session.cpp
@@ -107,7 +107,7 @@
     if (quiet.may(front_.server().now(), passed))
         spdlog::info("scgi: answered {}: {}; {} more like it", status, why, passed);
     whole_ = true;
-    say(message(status, {}, {}), true);
+    malformed(message(status, {}, {}), true);
 }
 
 void ScgiSession::hand_over() {
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -69,6 +69,7 @@
 
 void Node::figures(std::vector<std::pair<std::string, std::uint64_t>>& out) {
     front::control::responses(server_, out);
+    doors_.figures(out);
     out.emplace_back("node.config_applied", applied_);
     out.emplace_back("node.config_rejected", rejected_);
 }
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -178,6 +178,7 @@
 void Gateway::figures(std::vector<std::pair<std::string, std::uint64_t>>& out) {
     front::control::responses(server_, out);
     front::control::times(server_, out);
+    doors_.figures(out);
     out.emplace_back("node.config_applied", applied_);
     out.emplace_back("node.config_rejected", rejected_);
     const upstream::Upstream::Counts& u = upstream_.counts();
--- a/tests/cressledge/ending_test.cpp
+++ b/tests/cressledge/ending_test.cpp
@@ -75,6 +75,7 @@
     h.w.deadlines.run(wall() + Span(1'500'000));  // both limits are over, and the loop has read nothing
     CHECK(h.running.size() == 1);
     h.ended_clean(*rests);
+    CHECK(h.front().ended().idle == 1);
     h.serve_all();
     h.w.until([&] { return crosses->has("a whole map"); });
     CHECK_FALSE(crosses->over());  // and it may ask again
@@ -94,6 +95,7 @@
         CHECK(h.running.size() == 1);
         h.w.until([&] { return half->over(); });
         CHECK(half->has(wire == Speaks::http ? " 408 " : " 400 "));
+        CHECK(h.front().ended().overdue == 1);
         CHECK_FALSE(half->reset);
         h.serve_all();
         h.w.until([&] { return r->has("a whole map"); });
@@ -136,6 +138,7 @@
         CHECK_FALSE(r->reset);
         CHECK(idle->got.empty());
         CHECK_FALSE(idle->reset);
+        CHECK(h.front().ended().evicted == 2);
         CHECK(h.running.empty());
     }
 }
@@ -218,6 +221,7 @@
             return stopped = h.front().empty();
         });
         CHECK(stopped);
+        CHECK(h.front().ended().unwhole == 1);
         CHECK(half->got.empty());  // nothing is owed to half a line
         CHECK_FALSE(half->reset);
         CHECK(wall() - from < Span(5'000'000));
@@ -257,6 +261,32 @@
     CHECK(r->got.size() > large.size());
 }
 
+TEST_CASE("ending: what is malformed, cut short or floods behind its last answer is counted, and its end is bounded") {
+    for (const Speaks wire : both) {
+        Hall h(wire);
+        auto odd = h.resting(), cut = h.resting(), floods = h.resting();
+        odd->send("x:\r\n\r\n");
+        cut->send(h.request().substr(0, 20));
+        cut->half_close();
+        floods->send(h.request());
+        h.w.until([&] { return h.running.size() == 1 && odd->over(); });
+        CHECK(odd->has(" 400 "));
+        CHECK(h.front().ended().malformed == 1);
+        h.w.until([&] { return cut->over(); });
+        // An HTTP client that shuts its side in the middle has given up; over SCGI it is told.
+        CHECK(cut->has(" 400 ") == (wire == Speaks::scgi));
+        CHECK(h.front().ended().cut_short == 1);
+        h.front().leave();
+        h.serve_all();
+        const std::string part(64'000, 'x');
+        h.w.until([&] {
+            floods->try_send(part);
+            return h.front().ended().flooding == 1;
+        }, false);
+        CHECK(h.read() == 1);
+    }
+}
+
 TEST_CASE("ending: a connection's states are left forwards only") {
     front::Lifecycle l;
     CHECK(l.takes_requests());
