Read-back: one look-up of kept keys, one read before an end, one set of routing rules

Server::arrive looked a key up twice (kept_for and repeat_of) with the same window; the second now takes what the first found. Session::overdue, drain, rest and evict each wrote out the same read and the same questions after it: Session::read_out. config::Routing repeated the fields of routing::BalancerRules, copied one by one in upstream/executor.cpp: it is them now. The gateway gathered the names of the fleet every second for subsets as well; again only when the view has changed, but for a ramp, which asks who lives. The tests' hall lost an accessor and a field that nothing used.

--- a/src/config/routing.hpp
+++ b/src/config/routing.hpp
@@ -8,19 +8,13 @@
 
 namespace cressledge::config {
 
-struct Routing {
-    routing::Policy policy = routing::Policy::two_choices;
-    std::string place, node;  // this process's data centre and name
-    double spill = 1.5;
-    std::uint32_t most_in_hand = 0;
-    std::size_t subset = 0;
+// The balancer's rules and those of its neighbours. `ramp.warm_for` is the members' slow start.
+struct Routing : routing::BalancerRules {
     double retry_share = 0.1;  // extra tries for each first one
     bool hedging = false, probes = true;
-    balance::ProbeRules probing;  // where the policy is probe-pool or probe-first
     curlewreel::Span probe_patience{10'000};  // probe-first: a call goes then, whoever has answered
     bool affinity = false;  // requests of one Lookup-Key go to one server, while it is not overloaded
     routing::AttemptRules attempts;
-    routing::RampRules ramp;  // warm_for is the members' slow start
     membership::Rules members;
     std::uint32_t kept = 4, kept_in_all = 64;  // idle connections, of one server and in all; 0: none
     curlewreel::Span kept_idle{5'000'000}, kept_age{60'000'000};
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -112,8 +112,12 @@
         return 0;
     }
     const Time at = now();
+    const curlewreel::Class& c = settings().classes.at(arrival.kind);
+    // Guards against a caller whose clock is ahead: nothing arrives later than it is read.
+    const Time accepted = arrival.accepted = std::min(arrival.accepted, at);
+    const Kept* kept = kept_for(arrival);
     // Guards a request against another under its idempotency key: it would be answered with the result of what it is not.
-    if (const Kept* k = kept_for(settings(), arrival, at); k != nullptr && !(k->payload == payload_of(arrival))) {
+    if (kept != nullptr && c.effect == Effect::keyed && kept->payload != payload_of(arrival)) {
         ++counts_.failed;
         ++of_class(settings(), arrival.kind).errors;
         std::uint64_t passed = 0;
@@ -128,15 +132,12 @@
     entry->ticket = ticket;
     entry->generation = newest();
     ++generations_.back().open;
-    const curlewreel::Class& c = settings().classes.at(entry->arrival.kind);
-    // Guards against a caller whose clock is ahead: nothing arrives later than it is read.
-    const Time accepted = entry->arrival.accepted = std::min(entry->arrival.accepted, at);
     entry->due = std::max(at, accepted + entry->arrival.wait.value_or(c.deadline));
     curlewreel::Request r;
     r.kind = entry->arrival.kind;
     r.tenant = entry->arrival.tenant;
     r.caller = entry->arrival.caller;
-    r.repeats = entry->repeats = repeat_of(*entry);
+    r.repeats = entry->repeats = kept != nullptr ? repeat_of(*kept, c) : 0;
     r.has_key = !entry->arrival.key.empty();
     r.retry = entry->arrival.retry;
     if (entry->arrival.wait) r.due = entry->due;
@@ -441,23 +442,16 @@
     const XXH128_hash_t hash = XXH3_128bits(a.body.data(), a.body.size());
     return {hash.high64, hash.low64};
 }
-// What stands under its idempotency key, if it came within the window.
-const Server::Kept* Server::kept_for(const curlewreel::Settings& s, const Arrival& a, Time at) const {
-    if (a.key.empty() || s.classes.at(a.kind).effect != Effect::keyed) return nullptr;
-    const auto it = kept_.find(key_of(s, a));
-    return it != kept_.end() && std::min(a.accepted, at) <= it->second.until ? &it->second : nullptr;
+// What stands under its key, if it came within the window: it is when a try reached the machine that counts, no matter how
+// late it is read.
+const Server::Kept* Server::kept_for(const Arrival& a) const {
+    if (a.key.empty()) return nullptr;
+    const auto it = kept_.find(key_of(settings(), a));
+    return it != kept_.end() && a.accepted <= it->second.until ? &it->second : nullptr;
 }
 
-RequestNo Server::repeat_of(const Entry& e) {
-    if (e.arrival.key.empty()) return 0;
-    const auto it = kept_.find(key_of(e));
-    if (it == kept_.end()) return 0;
-    const Kept& k = it->second;
-    // It is when a try reached the machine that counts, no matter how late it is read.
-    if (e.arrival.accepted > k.until) return 0;
-    const curlewreel::Settings& s = settings_of(e);
-    if (s.classes[e.arrival.kind].effect == Effect::safe && k.done && (!k.good || now() - k.ended > s.fresh))
-        return 0;
+RequestNo Server::repeat_of(const Kept& k, const curlewreel::Class& c) {
+    if (c.effect == Effect::safe && k.done && (!k.good || now() - k.ended > settings().fresh)) return 0;
     return k.holder;
 }
 
--- a/src/core/server.hpp
+++ b/src/core/server.hpp
@@ -191,8 +191,8 @@
     static std::string key_of(const curlewreel::Settings& s, const Arrival& a);
     std::string key_of(const Entry& e);
     static Payload payload_of(const Arrival& a);
-    const Kept* kept_for(const curlewreel::Settings& s, const Arrival& a, Time at) const;
-    RequestNo repeat_of(const Entry& e);
+    const Kept* kept_for(const Arrival& a) const;
+    RequestNo repeat_of(const Kept& k, const curlewreel::Class& c);
     void settle_key(const Entry& e, RequestNo no, bool good, std::string_view result);
     void give(RequestNo no, const Kept& kept);
     void drop_key(const std::string& key);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -69,10 +69,16 @@
     });
 }
 
+// Before it is ended: what the other side had sent by now is still its request. True: there is one in hand, or it has
+// ended by that.
+bool Session::read_out() {
+    if (stream_ != nullptr) stream_->read_now();
+    return stream_ == nullptr || busy_ || !life_.takes_requests();
+}
+
 void Session::overdue() {
     // Its last bytes may lie in the socket, where this process has been too slow for them.
-    if (stream_ != nullptr) stream_->read_now();
-    if (stream_ == nullptr || busy_ || deadline_ != 0 || !life_.takes_requests()) return;
+    if (read_out() || deadline_ != 0) return;
     ++front_.ended_.overdue;
     if (!awaited()) return linger();  // nobody has asked anything
     say(too_slow(), true);
@@ -168,11 +174,8 @@
     });
 }
 
-// What the other side had sent before this moment is still a request of this connection.
 void Session::drain() {
-    if (!life_.drain() || busy_ || stream_ == nullptr) return;
-    stream_->read_now();
-    if (stream_ == nullptr || busy_ || partial() || !life_.takes_requests()) return;
+    if (!life_.drain() || busy_ || read_out() || partial()) return;
     front_.porter_.gate().answered(front_.server_.now(), seat_, false);
     linger();
 }
@@ -182,8 +185,7 @@
     ++front_.ended_.evicted;
     evicted_ = turned_away_ = true;
     const bool asked_nothing = life_.takes_requests() && !busy_;
-    if (asked_nothing && stream_ != nullptr) stream_->read_now();
-    if (asked_nothing && life_.lingers()) return;
+    if (asked_nothing && read_out() && life_.lingers()) return;
     bury();
 }
 
@@ -196,8 +198,7 @@
     deadline_ = front_.deadlines_.at(since_ + idle, [this] {
         deadline_ = 0;
         // A request may have come in this very instant: then it does not rest.
-        if (stream_ != nullptr) stream_->read_now();
-        if (stream_ == nullptr || busy_ || deadline_ != 0 || !life_.takes_requests()) return;
+        if (read_out() || deadline_ != 0) return;
         ++front_.ended_.idle;
         front_.porter_.gate().answered(front_.server_.now(), seat_, false);
         linger();
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -50,6 +50,7 @@
     void conclude(const std::string& bytes, bool close);
     void rest();  // no request is open: deadlines for the next one
     void whole_by(core::Time when);
+    bool read_out();
     void overdue();  // its next request is not whole in time
     void drain();  // the next answer is the last one; without a request, it ends now
     void linger();
--- a/src/upstream/executor.cpp
+++ b/src/upstream/executor.cpp
@@ -18,19 +18,6 @@
 constexpr double mostly = 0.5;
 constexpr std::size_t most_probes = 16, most_load_probes = 256;  // at a time
 
-routing::BalancerRules balancing(const config::Routing& r) {
-    routing::BalancerRules b;
-    b.policy = r.policy;
-    b.place = r.place;
-    b.spill = r.spill;
-    b.most_in_hand = r.most_in_hand;
-    b.subset = r.subset;
-    b.node = r.node;
-    b.probing = r.probing;
-    b.ramp = r.ramp;
-    return b;
-}
-
 }  // namespace
 
 // One call to one server.
@@ -221,7 +208,7 @@
 Upstream::Upstream(net::Loop& loop, core::Deadlines& deadlines, core::Server& server, core::Clock& clock,
                    admission::Descriptors& descriptors, const config::Routing& routing, std::uint64_t seed)
     : loop_(loop), deadlines_(deadlines), server_(server), clock_(clock), descriptors_(descriptors), rules_(routing),
-      random_(seed, 9), members_(routing.members), balancer_(members_, balancing(routing)),
+      random_(seed, 9), members_(routing.members), balancer_(members_, routing),
       budget_(routing.retry_share) {
     for (std::size_t i = 0; i < server.settings().classes.size(); ++i) hedges_.emplace_back(routing.attempts);
 }
@@ -249,7 +236,7 @@
 void Upstream::retune(const config::Routing& routing) {
     rules_ = routing;
     members_.retune(routing.members);
-    balancer_.retune(balancing(routing));
+    balancer_.retune(routing);
     budget_.retune(routing.retry_share);
 }
 
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -129,16 +129,20 @@
 }
 
 // Subsets, and the calls to a cold server, are shared out evenly among the live processes, as this one sees them. Once a
-// second: a member that comes and goes meanwhile moves nothing. Told though nobody came or went: it says who lives.
+// second: a member that comes and goes meanwhile moves nothing. A ramp asks who lives, though nobody came or went.
 void Gateway::look_at_fleet() {
     deadlines_.cancel(look_at_fleet_);
     look_at_fleet_ = 0;
-    if (!gossip_ || (config_.routing.subset == 0 && config_.routing.ramp.calls_per_s <= 0.0)) return;
+    const bool ramps = config_.routing.ramp.calls_per_s > 0.0;
+    if (!gossip_ || (config_.routing.subset == 0 && !ramps)) return;
     const fleet::View& view = gossip_->view();
-    std::vector<std::string> names{view.self().id};
-    for (const auto& m : view.members())
-        if (m.state == fleet::State::alive || m.state == fleet::State::suspect) names.push_back(m.id);
-    upstream_.peers(std::move(names));
+    if (const std::uint64_t digest = view.digest(); ramps || digest != fleet_seen_) {
+        fleet_seen_ = digest;
+        std::vector<std::string> names{view.self().id};
+        for (const auto& m : view.members())
+            if (m.state == fleet::State::alive || m.state == fleet::State::suspect) names.push_back(m.id);
+        upstream_.peers(std::move(names));
+    }
     look_at_fleet_ = deadlines_.at(loop_.unix_now() + fleet_every, [this] { look_at_fleet(); });
 }
 
@@ -239,6 +243,7 @@
         }
         if (rerouted) {
             upstream_.retune(config_.routing);
+            fleet_seen_ = 0;
             look_at_fleet();
         }
         servers_ = std::move(servers);
--- a/src/upstream/gateway.hpp
+++ b/src/upstream/gateway.hpp
@@ -78,6 +78,7 @@
     std::unique_ptr<core::Executor> wrapped_;
     std::vector<config::Upstream> servers_;  // in force
     std::unique_ptr<net::Watch> watch_;
+    std::uint64_t fleet_seen_ = 0;  // the digest of the view that the balancer was last told of
     core::Deadlines::Handle look_ = 0, look_at_fleet_ = 0, join_ = 0;
     std::vector<admission::Descriptors::Lease> kept_open_;  // the store's files
     std::unique_ptr<learning::Keeper> keeper_;  // null: nothing is kept
--- a/tests/cressledge/hall.hpp
+++ b/tests/cressledge/hall.hpp
@@ -89,7 +89,6 @@
     front::Supply supply{7, 24.0};
     front::Doors doors;
     std::vector<core::RequestNo> running;
-    int ids = 0;
 
     static admission::Plan planned(std::uint32_t connections) {
         admission::Needs needs;
@@ -166,8 +165,7 @@
         r->got.clear();
         return r;
     }
-    std::size_t connections() const { return porter_open(); }
-    std::size_t porter_open() const { return const_cast<front::Porter&>(porter).gate().open(); }
+    std::size_t connections() { return porter.gate().open(); }
     void serve_all() {
         for (const core::RequestNo no : std::exchange(running, {})) server.ended(no, core::End::pass, "a whole map");
     }
--- a/tests/cressledge/ramp_test.cpp
+++ b/tests/cressledge/ramp_test.cpp
@@ -218,7 +218,7 @@
     load::Driver driver(w.loop, w.deadlines, load::Arrivals(400.0, 1, {{"sheet", 1.0, false}}, 5));
     const auto doors = [&] {
         std::vector<net::Address> all;
-        for (const std::size_t no : crowd.all_running()) all.push_back(at(0)), all.back() = *net::Address::parse(fleet::text(crowd.door(no)));
+        for (const std::size_t no : crowd.all_running()) all.push_back(*net::Address::parse(fleet::text(crowd.door(no))));
         driver.doors(all);
     };
     doors();
