request: log line for a dependency call that ends without success

Checked: the possible causes, and what tells them apart. Reply read or reported more than once: one line for each. Controller and manager by themselves: one line, then the prevented calls. Log or peers that block: no line after it. Change: 'request: dependency call failed request= outcome= answered= suppressed=', one a second at most.

--- a/src/request/request_manager.hpp
+++ b/src/request/request_manager.hpp
@@ -193,6 +193,7 @@
     void replay_result(RequestId request_id, const IdempotencyRecord& record);
 
     void time_out_call(RequestId request_id);
+    void log_call_failure(const OpenRequest& request, policy::Outcome outcome);
     void request_timer_gauges(std::uint64_t generation, std::uint32_t timer_token);
 
     // Actions; defined in request_manager_actions.cpp.
@@ -244,6 +245,7 @@
 
     LogRateLimiter rejection_log_limiter_;
     LogRateLimiter key_mismatch_log_limiter_;
+    LogRateLimiter call_failure_log_limiter_;
 };
 
 }  // namespace cressledge::request
--- a/src/request/request_manager_runs.cpp
+++ b/src/request/request_manager_runs.cpp
@@ -1,13 +1,42 @@
 // Handles reports of the executor and the dependency client, and cancellations by callers.
 
+#include <string_view>
 #include <utility>
 
+#include "base/log.hpp"
 #include "request/request_manager.hpp"
 
 namespace cressledge::request {
 
 using policy::Outcome;
 
+namespace {
+
+/// The outcome of a dependency call as written to the log.
+std::string_view outcome_name(Outcome outcome) {
+    switch (outcome) {
+        case Outcome::ok:
+            return "ok";
+        case Outcome::error:
+            return "error";
+        case Outcome::rejected:
+            return "rejected";
+        case Outcome::timeout:
+            return "timeout";
+        case Outcome::connect_failed:
+            return "connect_failed";
+        case Outcome::reset:
+            return "reset";
+        case Outcome::cancelled:
+            return "cancelled";
+        case Outcome::not_started:
+            break;
+    }
+    return "not_started";
+}
+
+}  // namespace
+
 void RequestManager::run_finished(RequestId request_id, RunResult run_result, std::string_view body) {
     OpenRequest* request = open_requests_.find(request_id);
     // The end of a run may be reported twice when the link to the executor is interrupted.
@@ -79,6 +108,7 @@
         request->call_body.clear();
         executor_->deliver_call_reply(request_id, reply);
     } else {
+        log_call_failure(*request, outcome);
         request->state = RequestState::awaiting_call_decision;
         request->has_failed = true;
         // Only these outcomes prove that the call had no effect at the dependency.
@@ -88,6 +118,13 @@
     post_event(policy::DependencyCallFinished{request_id, outcome, now() - request->call_started_at});
 }
 
+void RequestManager::log_call_failure(const OpenRequest& request, Outcome outcome) {
+    std::uint64_t suppressed = 0;
+    if (call_failure_log_limiter_.try_acquire(now(), suppressed))
+        base::log_info("request: dependency call failed request={} outcome={} answered={} suppressed={}",
+                       request.incoming.external_id, outcome_name(outcome), request.answered, suppressed);
+}
+
 // ---- callers ----
 
 void RequestManager::cancel(RequestId request_id) {
