policy: no dependency call for a request that is answered or whose caller has left

Cause: the engine ends such a run (KILLED) and the records service then its call (PAST); in pieces PAST is read first. DependencyCallScheduler::on_finished put the answered request back into the call queue and dispatch() requested the call again; RequestManager prevented it, as it may have had its effect, and posted DependencyCallFinished, which led to the same action. The event queue was never empty. on_requested queued a run that reached its call after the close as well. Change: RequestTable keeps answered requests out of the call queue (mark_answered, join_call_queue); RequestManager makes no call for them, for any controller, and posts no event for it; the controller does not fail them a second time.

--- a/src/policy/dependency_call_scheduler.cpp
+++ b/src/policy/dependency_call_scheduler.cpp
@@ -21,9 +21,8 @@
         return;
     state_.failures.record_progress(state_.clock.now());
     state_.requests.set_state(*request, RequestState::awaiting_call);
-    if (request->answered)
-        state_.actions.emit(Fail{request->id});
-    else
+    // The run of an answered request ends at its call.
+    if (!request->answered)
         wait_for_call(*request);
 }
 
@@ -36,8 +35,6 @@
     state_.dependency.learn(has_succeeded, to_seconds(event.duration));
     state_.requests.set_state(*request, has_succeeded ? RequestState::running : RequestState::awaiting_call);
     if (request->answered) {
-        if (!has_succeeded)
-            state_.actions.emit(Fail{request->id});
         state_.timers.erase(request->id);
         return;
     }
--- a/src/policy/dependency_call_scheduler.hpp
+++ b/src/policy/dependency_call_scheduler.hpp
@@ -1,8 +1,9 @@
 // Issues, retries and skips the dependency calls of runs. README.md, "Decisions", explains each tuned value.
 //
 // Invariants: calls are issued in the order of service, within the limits of the dependency limiter; a call
-// that may have run is repeated only for requests that may run again; a call that can be skipped is skipped
-// early enough for the run to meet its objective.
+// that may have run is repeated only for requests that may run again; no call is issued or skipped for a
+// request that is answered; a call that can be skipped is skipped early enough for the run to meet its
+// objective.
 #pragma once
 
 #include "policy/request_finalizer.hpp"
--- a/src/policy/request_finalizer.cpp
+++ b/src/policy/request_finalizer.cpp
@@ -22,7 +22,7 @@
 void RequestFinalizer::fail(TrackedRequest& request) {
     if (!request.answered)
         state_.actions.emit(Fail{request.id});
-    request.answered = true;
+    state_.requests.mark_answered(request);
     if (!request.is_in_flight()) {
         remove(request);
         return;
@@ -36,10 +36,10 @@
         remove(request);
         return;
     }
-    request.answered = true;
+    state_.requests.mark_answered(request);
     state_.timers.erase(request.id);
     // A run with a key continues, because a repeat may ask for its outcome.
-    if (request.state == RequestState::awaiting_call || !request.needs_key())
+    if (!request.needs_key())
         stop_work(request);
 }
 
@@ -67,8 +67,6 @@
 }
 
 void RequestFinalizer::stop_work(TrackedRequest& request) {
-    if (request.state == RequestState::awaiting_call)
-        state_.requests.leave_call_queue(request);
     const Preemption preemption = state_.settings.preemption;
     if (request.state != RequestState::running || preemption == Preemption::none)
         return;
--- a/src/policy/request_table.cpp
+++ b/src/policy/request_table.cpp
@@ -35,6 +35,11 @@
     account(request, 1.0);
 }
 
+void RequestTable::mark_answered(TrackedRequest& request) {
+    request.answered = true;
+    leave_call_queue(request);
+}
+
 void RequestTable::move_to_backup_queue(TrackedRequest& request) {
     run_queue_.remove(request);
     request.in_backup_queue = true;
@@ -48,6 +53,11 @@
     run_queue_.add(request);
 }
 
+void RequestTable::join_call_queue(const TrackedRequest& request) {
+    if (!request.answered)
+        call_queue_.insert(request.position());
+}
+
 double RequestTable::waiting_calls_at_or_above(std::size_t band) const {
     const QueuePosition next_band{1 - static_cast<std::ptrdiff_t>(band), Timestamp::min(), 0};
     return static_cast<double>(std::distance(call_queue_.begin(), call_queue_.lower_bound(next_band)));
--- a/src/policy/request_table.hpp
+++ b/src/policy/request_table.hpp
@@ -2,8 +2,8 @@
 //
 // Invariants: every count (memory, runs, requests in flight, expected calls, used quanta) is the sum over the
 // requests in the table; a request is in the run queue while its state is `queued`; a request that waits to
-// issue a call is in the call queue, unless its retry is not due yet or it is about to end. State, band and
-// queue of a request change only through the table.
+// issue a call is in the call queue, unless its retry is not due yet or it is answered. State, band, queue
+// and `answered` of a request change only through the table.
 #pragma once
 
 #include <cstddef>
@@ -35,6 +35,8 @@
     TrackedRequest& insert(const TrackedRequest& request);
     void erase(const TrackedRequest& request);
     void set_state(TrackedRequest& request, RequestState state);
+    /// Marks a request that needs no answer any more. It issues no further dependency call.
+    void mark_answered(TrackedRequest& request);
 
     const RunQueue& run_queue() const { return run_queue_; }
     /// Moves a queued request from the main to the backup queue.
@@ -44,7 +46,8 @@
 
     /// Requests that wait to issue a dependency call, in the order of service.
     const std::set<QueuePosition>& call_queue() const { return call_queue_; }
-    void join_call_queue(const TrackedRequest& request) { call_queue_.insert(request.position()); }
+    /// Does nothing if the request is answered.
+    void join_call_queue(const TrackedRequest& request);
     void leave_call_queue(const TrackedRequest& request) { call_queue_.erase(request.position()); }
     /// Number of waiting calls in this band and higher ones.
     double waiting_calls_at_or_above(std::size_t band) const;
--- a/src/request/request_manager.hpp
+++ b/src/request/request_manager.hpp
@@ -9,7 +9,8 @@
 /// Invariants, for any actions of the controller and any reports of the executor:
 /// - a request gets at most one response, and exactly one unless its caller stops waiting;
 /// - a request that has run is never rejected;
-/// - only a read runs, or makes the same dependency call, more than once.
+/// - only a read runs, or makes the same dependency call, more than once;
+/// - no dependency call is made for a request that was answered or whose caller has left.
 ///
 /// Not thread-safe: all calls are made on the thread of the event loop.
 #pragma once
--- a/src/request/request_manager_actions.cpp
+++ b/src/request/request_manager_actions.cpp
@@ -88,6 +88,9 @@
     OpenRequest* request = open_requests_.find(action.id);
     if (request == nullptr || request->state != RequestState::awaiting_call_decision)
         return;
+    // The run ends at its call. An event in return could make the controller request the call again without end.
+    if (request->answered)
+        return;
     if (request->call_may_have_effect && class_of(*request).idempotency != Idempotency::always) {
         base::log_error(
             "request: second dependency call prevented request={} reason=\"the first may have taken effect\"",
--- a/tests/cressledge/records_client_test.cpp
+++ b/tests/cressledge/records_client_test.cpp
@@ -5,6 +5,12 @@
 
 using namespace cressledge::testing;
 
+/// Runs the loop for `duration`.
+void run_for(TestLoop& test_loop, Duration duration) {
+    const Timestamp end = wall_clock_now() + duration;
+    test_loop.run_until([end] { return wall_clock_now() >= end; }, false);
+}
+
 TEST_CASE("RecordsClient: a write is retried after a refused connection and never after a broken one") {
     PlatformFixture fixture;
     auto caller = fixture.connect_caller();
@@ -33,6 +39,39 @@
     fixture.test_loop.run_until([&] { return fixture.records.latest_peer().is_closed; });
 }
 
+// Guards against a process that answers nobody, and against calls for runs that are over: the end of the call is read
+// after its caller's close and before the end of its run.
+TEST_CASE("RecordsClient: a call that fails after its caller has left is not made again") {
+    for (const std::string& class_name : {std::string("trail-sheet"), std::string("map-order")})
+        for (const std::string& reply :
+             {std::string(" PAST\r\n"), std::string(" ERROR\r\n"), std::string(" EMPTY\r\n"),
+              std::string(" WAIT\r\n"), std::string("(connection closed)")}) {
+            INFO(class_name << reply);
+            PlatformFixture fixture;
+            auto leaving_caller = fixture.connect_caller(), waiting_caller = fixture.connect_caller();
+            const std::string run = fixture.start_run(*leaving_caller, class_name, "x");
+            fixture.engine.latest_peer().send("NEED 1 " + run + " 1\r\nq\r\n");
+            fixture.test_loop.run_until([&] { return fixture.records.has_received("OP " + run); });
+            leaving_caller->close();
+            run_for(fixture.test_loop, Duration(20'000));
+            take_log();
+            if (reply[0] == '(')
+                fixture.records.latest_peer().close();
+            else
+                fixture.records.latest_peer().send(run + reply);
+            const Timestamp failed_at = wall_clock_now();
+            const std::string other_run = fixture.start_run(*waiting_caller, "route-profile", "y");
+            fixture.engine.latest_peer().send("DONE 2 " + other_run + " PASS 1 1\r\nz\r\n");
+            fixture.expect_received(*waiting_caller, "HTTP/1.1 200");
+            run_for(fixture.test_loop, Duration(150'000));  // longer than the delay before a call is retried
+            CHECK(wall_clock_now() - failed_at < Duration(1'000'000));
+            CHECK(take_log().find("answered=true") != std::string::npos);
+            REQUIRE(fixture.records.peers.size() == 1);
+            const std::string& received = fixture.records.latest_peer().received;
+            CHECK(received.find("OP ") == received.rfind("OP "));
+        }
+}
+
 TEST_CASE("RecordsClient: a malformed reply fails its own call only and closes its connection") {
     const std::string malformed_replies[] = {"% DONE",     " DONE 3000000000\r\nxx", " DONE 2\r\nabcd\r\n",
                                              " WHAT\r\n",  " DONE -1\r\n",           " DONE\r\n",
--- a/tests/cressledge/request_manager_test.cpp
+++ b/tests/cressledge/request_manager_test.cpp
@@ -178,6 +178,35 @@
     }
 }
 
+// Guards against an endless exchange of events between controller and manager, and against calls for runs that are over.
+TEST_CASE("RequestManager: no dependency call is made for a request whose caller has left") {
+    constexpr int max_repeats = 5;
+    for (const std::size_t class_index : {std::size_t{0}, std::size_t{2}})
+        for (const Outcome outcome :
+             {Outcome::error, Outcome::rejected, Outcome::timeout, Outcome::connect_failed, Outcome::reset}) {
+            RequestManagerFixture fixture;
+            fixture.run_every_request();
+            const auto request_id = fixture.submit(class_index);
+            fixture.on<policy::DependencyCallRequested>([](const auto& event) {
+                return std::vector<Action>{policy::CallDependency{event.id, Duration(0)}};
+            });
+            fixture.manager.dependency_call_requested(request_id, 1, "pay");
+            fixture.manager.cancel(request_id);
+            int repeats = 0;
+            fixture.on<policy::DependencyCallFinished>([&](const auto& event) {
+                return ++repeats <= max_repeats
+                           ? std::vector<Action>{policy::CallDependency{event.id, Duration(0)}}
+                           : std::vector<Action>();
+            });
+            fixture.manager.dependency_call_finished(request_id, outcome, {});
+            CHECK(fixture.call_count("call pay") == 1);
+            CHECK(fixture.controller->count<policy::DependencyCallFinished>() == 1);
+            fixture.manager.run_finished(request_id, RunResult::killed, {});
+            CHECK(fixture.controller->last<policy::RunFinished>().outcome == Outcome::cancelled);
+            CHECK(fixture.call_count("release") == 1);
+        }
+}
+
 TEST_CASE("RequestManager: a dependency call past its deadline is abandoned and reported as timed out") {
     RequestManagerFixture fixture;
     fixture.run_every_request();
--- a/tests/policy/random_schedule_test.cpp
+++ b/tests/policy/random_schedule_test.cpp
@@ -141,6 +141,7 @@
         ASSERT_EQ(entry.phase, Phase::awaiting_call);
         EXPECT_FALSE(entry.may_have_called && class_of(entry).idempotency != Idempotency::always)
             << "a call that may have run was repeated";
+        EXPECT_TRUE(entry.answers == 0 && !entry.is_cancelled) << "a call for a request that is over";
         entry.phase = Phase::in_call;
     }
     void apply(const SkipDependencyCall& action) {
@@ -180,6 +181,15 @@
         entry.phase = Phase::finished;
         send(RunFinished{id, outcome});
     }
+    void cancel(RequestId id) {
+        RequestEntry& entry = entries[id];
+        entry.is_cancelled = true;
+        if (entry.phase == Phase::queued || entry.phase == Phase::awaiting_result)
+            entry.phase = Phase::finished;
+        if (entry.phase == Phase::awaiting_call || entry.phase == Phase::in_call)
+            pending_results.push_back({id, Outcome::cancelled});
+        send(Cancelled{id});
+    }
     void arrive() {
         RequestArrived arrival;
         arrival.id = ++last_id;
@@ -226,8 +236,12 @@
                 timer.gauges = {random_unit(), 6.0 * random_unit(), random_unit(), 120.0 * random_unit()};
             send(timer);
         }
+        // The end of a run may be reported after that of its call.
         for (const auto& [id, outcome] : std::exchange(pending_results, {}))
-            finish(id, outcome);
+            if (random_unit() < 0.5)
+                finish(id, outcome);
+            else
+                pending_results.push_back({id, outcome});
         const int arrivals = random_unit() < 0.05 ? 25 : random_unit() < 0.25 ? 1 : 0;
         for (int i = 0; i < arrivals; ++i)
             arrive();
@@ -237,9 +251,14 @@
                 open_ids.push_back(id);
         for (const RequestId id : open_ids) {
             RequestEntry& entry = entries[id];
-            if (entry.phase == Phase::finished || random_unit() > 0.03)
+            const bool ends_soon = entry.phase == Phase::in_call && entry.is_cancelled;
+            if (entry.phase == Phase::finished || random_unit() > (ends_soon ? 0.3 : 0.03))
                 continue;
-            if (entry.phase == Phase::running && class_of(entry).calls_dependency && !entry.made_call) {
+            const double cancel_probability = entry.phase == Phase::in_call ? 0.3 : 0.05;
+            if (entry.answers == 0 && !entry.is_cancelled && random_unit() < cancel_probability) {
+                cancel(id);
+            } else if (entry.phase == Phase::running && class_of(entry).calls_dependency &&
+                       !entry.made_call) {
                 entry.made_call = true;
                 if (entry.answers > 0 || entry.is_cancelled) {  // nobody waits for it, so it ends at its call
                     finish(id, Outcome::cancelled);
@@ -258,14 +277,8 @@
                                                           : Outcome::timeout;
                 entry.may_have_called = entry.may_have_called || call_outcome == Outcome::timeout;
                 entry.phase = call_outcome == Outcome::ok ? Phase::running : Phase::awaiting_call;
+                failed_calls_after_cancel += entry.is_cancelled && call_outcome != Outcome::ok;
                 send(DependencyCallFinished{id, call_outcome, 30ms});
-            } else if (random_unit() < 0.1) {
-                entry.is_cancelled = true;
-                if (entry.phase == Phase::queued || entry.phase == Phase::awaiting_result)
-                    entry.phase = Phase::finished;
-                if (entry.phase == Phase::awaiting_call || entry.phase == Phase::in_call)
-                    pending_results.push_back({id, Outcome::cancelled});
-                send(Cancelled{id});
             }
         }
         for (auto it = entries.begin(); it != entries.end();) {
@@ -291,7 +304,7 @@
     bool is_draining = false;
     RequestId last_id = 0;
     std::uint64_t last_key = 1000;
-    long run_count = 0, rejected_count = 0, replayed_count = 0;
+    long run_count = 0, rejected_count = 0, replayed_count = 0, failed_calls_after_cancel = 0;
 };
 
 Settings test_settings(Preemption preemption, bool cold_start) {
@@ -355,6 +368,7 @@
     EXPECT_GT(model.run_count, 100);
     EXPECT_GT(model.rejected_count, 300);
     EXPECT_GT(model.replayed_count, 10);
+    EXPECT_GT(model.failed_calls_after_cancel, 0);
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomScheduleTest, testing::Range(1U, 7U));
 
