engine client: log line for a call reply that is sent again

Checked: the possible causes, and what tells them apart. Sent again after the wait of 100 ms: a line for that run, first_sent=true. Sent at once on the new link: a line with first_sent=false. A reply that the records client takes for the wrong call, or a notice that is read twice: a wrong reply without any line. Change: 'engine: call reply resent' for each reply that is sent on a new link. The interface stays.

--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -182,6 +182,7 @@
     const base::Timestamp now = loop().unix_now();
     std::string bytes;
     for (ActiveRun* run : runs) {
+        log_resent_call_reply(*run);
         bytes += run->unconfirmed_command;
         run->sent_at = now;
         if (run->suspend_requested)
@@ -204,6 +205,7 @@
             continue;
         if (run.command_type == CommandType::call_reply && link_lost_at_ - run.sent_at > certain_delivery_age)
             continue;
+        log_resent_call_reply(run);
         bytes += run.unconfirmed_command;
         run.sent_at = now;
     }
@@ -211,4 +213,14 @@
         write(bytes);
 }
 
+void EngineClient::log_resent_call_reply(const ActiveRun& run) const {
+    if (run.command_type != CommandType::call_reply || run.unconfirmed_command.empty())
+        return;
+    const bool was_sent = run.sent_at != base::Timestamp(0);
+    const base::Duration age = was_sent ? link_lost_at_ - run.sent_at : base::Duration(0);
+    base::log_info(
+        "engine: call reply resent request={} first_sent={} sent_ms_before_loss={} link_lost_ms_ago={}",
+        run.name, was_sent, age.count() / 1000, (loop().unix_now() - link_lost_at_).count() / 1000);
+}
+
 }  // namespace cressledge::platform
--- a/src/platform/engine_client.hpp
+++ b/src/platform/engine_client.hpp
@@ -97,6 +97,7 @@
     bool was_probably_delivered(const ActiveRun& run) const;
     bool needs_resend(ActiveRun& run) const;
     void resend_unconfirmed();
+    void log_resent_call_reply(const ActiveRun& run) const;
     void mark_unsynchronized();
     void close_link(const char* reason);
     std::string synchronization_tag() const;
