engine client: a call reply is sent again only to a run that still waits for it

Cause: EngineClient::resend_unconfirmed sent a reply again that no notice had confirmed 100 ms after the new link. A run at work between two calls sends no notice; it stood at its next call when the second sending arrived, as FEED names no call. Change: RunCommands (pure, out of EngineClient) decides what is sent again. A gauges query behind each reply (CommandBarrier) shows that it was executed. Commands that may be sent twice are sent again as before.

--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -8,13 +8,14 @@
 namespace cressledge::platform {
 namespace {
 
-/// The engine may lose commands sent in the last 50 ms before the link broke. A command sent longer before the break
-/// than this window was probably delivered.
-constexpr base::Duration uncertain_delivery_window{250'000};
 /// How long to wait for the notice that confirms a probably delivered command before sending the command again.
 constexpr base::Duration confirmation_timeout{100'000};
-/// A command sent longer than this before the break was certainly delivered.
-constexpr base::Duration certain_delivery_age{2'000'000};
+/// A barrier that took longer tells too little of where the runs stand now.
+constexpr base::Duration max_barrier_round_trip{10'000};
+/// Delay before the next barrier if the last one did not allow the uncertain call replies to be sent.
+constexpr base::Duration barrier_retry_delay{5'000};
+
+using CommandType = RunCommands::CommandType;
 
 }  // namespace
 
@@ -38,50 +39,50 @@
         close_link("write buffer full");
 }
 
-void EngineClient::send_command(request::RequestId request_id, std::string bytes, CommandType type) {
-    const auto it = active_runs_.find(request_id);
-    if (it == active_runs_.end())
+void EngineClient::send_command(request::RequestId request_id, const std::string& bytes, CommandType type) {
+    const base::Timestamp sent_at = synchronized_ ? loop().unix_now() : base::Timestamp(0);
+    commands_.record(request_id, bytes, type, sent_at);
+    if (!synchronized_)
         return;
-    ActiveRun& run = it->second;
-    run.unconfirmed_command = std::move(bytes);
-    run.command_type = type;
-    run.sequence = ++last_sequence_;
-    run.sent_at = synchronized_ ? loop().unix_now() : base::Timestamp(0);
-    run.awaiting_confirmation = false;
-    if (synchronized_)
-        write(run.unconfirmed_command);
+    write(type == CommandType::call_reply ? bytes + begin_barrier() : bytes);
+}
+
+// Returns the query to send behind the commands sent so far; nothing if one is pending, whose end begins the next.
+std::string EngineClient::begin_barrier() {
+    if (barrier_.is_pending())
+        return {};
+    return engine_protocol::encode_gauges_query(barrier_.begin(commands_.last_sequence(), loop().unix_now()));
 }
 
 void EngineClient::run(const request::Work& work) {
     const std::string name(work.external_id);
-    active_runs_[work.request_id].name = name;
-    request_ids_by_name_[name] = work.request_id;
-    send_command(work.request_id, engine_protocol::encode_run(name, work.class_name, work.body));
+    commands_.add_run(work.request_id, name);
+    send_command(work.request_id, engine_protocol::encode_run(name, work.class_name, work.body),
+                 CommandType::repeatable);
 }
 
 void EngineClient::resume(request::RequestId request_id) {
-    if (const auto it = active_runs_.find(request_id); it != active_runs_.end())
-        send_command(request_id, engine_protocol::encode_resume(it->second.name));
+    if (const std::string* name = commands_.find_name(request_id))
+        send_command(request_id, engine_protocol::encode_resume(*name), CommandType::repeatable);
 }
 
 void EngineClient::deliver_call_reply(request::RequestId request_id, std::string_view reply) {
-    if (const auto it = active_runs_.find(request_id); it != active_runs_.end())
-        send_command(request_id, engine_protocol::encode_call_reply(it->second.name, reply),
-                     CommandType::call_reply);
+    if (const std::string* name = commands_.find_name(request_id))
+        send_command(request_id, engine_protocol::encode_call_reply(*name, reply), CommandType::call_reply);
 }
 
 void EngineClient::skip_call(request::RequestId request_id, std::uint64_t call_id) {
-    if (const auto it = active_runs_.find(request_id); it != active_runs_.end())
-        send_command(request_id, engine_protocol::encode_skip_call(it->second.name, call_id));
+    if (const std::string* name = commands_.find_name(request_id))
+        send_command(request_id, engine_protocol::encode_skip_call(*name, call_id), CommandType::repeatable);
 }
 
 void EngineClient::suspend(request::RequestId request_id) {
-    const auto it = active_runs_.find(request_id);
-    if (it == active_runs_.end())
+    const std::string* name = commands_.find_name(request_id);
+    if (name == nullptr)
         return;
-    it->second.suspend_requested = true;
+    commands_.request_suspension(request_id);
     if (synchronized_)
-        write(engine_protocol::encode_suspend(it->second.name));
+        write(engine_protocol::encode_suspend(*name));
 }
 
 bool EngineClient::request_gauges(std::uint64_t query_id) {
@@ -99,14 +100,7 @@
 }
 
 void EngineClient::release(request::RequestId request_id) {
-    const auto it = active_runs_.find(request_id);
-    if (it == active_runs_.end())
-        return;
-    // A later request may use the same name by now.
-    if (const auto name = request_ids_by_name_.find(it->second.name);
-        name != request_ids_by_name_.end() && name->second == request_id)
-        request_ids_by_name_.erase(name);
-    active_runs_.erase(it);
+    commands_.remove_run(request_id);
 }
 
 void EngineClient::set_address(const net::Address& address) {
@@ -141,8 +135,11 @@
 }
 
 void EngineClient::mark_unsynchronized() {
+    barrier_.cancel();
+    ended_barrier_.reset();
+    barrier_timer_.cancel();
     if (std::exchange(synchronized_, false))
-        link_lost_at_ = loop().unix_now();
+        commands_.on_link_lost(loop().unix_now());
 }
 
 std::string EngineClient::synchronization_tag() const {
@@ -150,47 +147,20 @@
     return std::string("s").append(std::to_string(link_epoch_));
 }
 
-// A call reply sent just before the break counts as delivered: if it were sent again, the engine could take it for the
-// reply to the run's next call.
-bool EngineClient::was_probably_delivered(const ActiveRun& run) const {
-    if (run.sent_at == base::Timestamp(0))
-        return false;
-    return run.command_type == CommandType::call_reply ||
-           link_lost_at_ - run.sent_at > uncertain_delivery_window;
-}
-
-// Updates the state of a run's last command for a new link. Returns whether a command must be sent immediately.
-bool EngineClient::needs_resend(ActiveRun& run) const {
-    const bool delivered = was_probably_delivered(run);
-    // A suspended run does not need the reply.
-    if (run.command_type == CommandType::call_reply && delivered && run.suspend_requested)
-        run.unconfirmed_command.clear();
-    run.awaiting_confirmation = !run.unconfirmed_command.empty() && delivered && !run.suspend_requested;
-    const bool lost = !run.unconfirmed_command.empty() && !run.awaiting_confirmation;
-    return lost || run.suspend_requested;
-}
-
 void EngineClient::on_synchronized() {
     synchronized_ = true;
     reset_backoff();
-    std::vector<ActiveRun*> runs;
-    for (auto& [request_id, run] : active_runs_)
-        if (needs_resend(run))
-            runs.push_back(&run);
-    std::sort(runs.begin(), runs.end(),
-              [](const ActiveRun* a, const ActiveRun* b) { return a->sequence < b->sequence; });
     const base::Timestamp now = loop().unix_now();
-    std::string bytes;
-    for (ActiveRun* run : runs) {
-        log_resent_call_reply(*run);
-        bytes += run->unconfirmed_command;
-        run->sent_at = now;
-        if (run->suspend_requested)
-            bytes += engine_protocol::encode_suspend(run->name);
-    }
-    base::log_info("engine: link synchronized last_notice={} resent_commands={}", last_notice_, runs.size());
+    const RunCommands::Batch lost = commands_.take_lost_commands(now);
+    const std::size_t uncertain_count = commands_.uncertain_call_reply_count();
+    base::log_info("engine: link synchronized last_notice={} resent_commands={} uncertain_call_replies={}",
+                   last_notice_, lost.run_count, uncertain_count);
+    std::string bytes = lost.bytes;
+    if (commands_.needs_barrier())
+        bytes += begin_barrier();
     if (!bytes.empty())
         write(bytes);
+    schedule_barrier(base::Duration(0));
     timers().schedule_detached(now + confirmation_timeout, [this, epoch = link_epoch_] {
         if (synchronized_ && epoch == link_epoch_)
             resend_unconfirmed();
@@ -198,29 +168,41 @@
 }
 
 void EngineClient::resend_unconfirmed() {
-    const base::Timestamp now = loop().unix_now();
+    const RunCommands::Batch batch = commands_.take_unconfirmed_commands(loop().unix_now());
+    if (!batch.bytes.empty())
+        write(batch.bytes);
+}
+
+// Called when all bytes received have been handled. If they ended with a whole message, soon after the query, no notice
+// of a run with an uncertain call reply is on its way, as far as can be known: the run still waits for the reply, or
+// works. The reply is sent now, before a notice of its next call can arrive.
+void EngineClient::on_barrier_ended(const BarrierResult& barrier) {
+    commands_.confirm_call_replies(barrier.sequence);
     std::string bytes;
-    for (auto& [request_id, run] : active_runs_) {
-        if (!std::exchange(run.awaiting_confirmation, false) || run.unconfirmed_command.empty())
-            continue;
-        if (run.command_type == CommandType::call_reply && link_lost_at_ - run.sent_at > certain_delivery_age)
-            continue;
-        log_resent_call_reply(run);
-        bytes += run.unconfirmed_command;
-        run.sent_at = now;
-    }
+    if (barrier.round_trip <= max_barrier_round_trip && frame_reader_.is_empty())
+        bytes = commands_.take_due_call_replies(loop().unix_now()).bytes;
+    if (commands_.needs_barrier())
+        bytes += begin_barrier();
     if (!bytes.empty())
         write(bytes);
+    schedule_barrier(barrier_retry_delay);
+}
+
+// Begins a barrier when the next uncertain call reply is due, but not before `min_delay` is over.
+void EngineClient::schedule_barrier(base::Duration min_delay) {
+    const auto due = commands_.next_call_reply_due();
+    if (!due || !synchronized_)
+        return;
+    const base::Timestamp at = std::max(*due, loop().unix_now() + min_delay);
+    barrier_timer_ = timers().schedule(at, [this] { send_due_barrier(); });
 }
 
-void EngineClient::log_resent_call_reply(const ActiveRun& run) const {
-    if (run.command_type != CommandType::call_reply || run.unconfirmed_command.empty())
+// If another barrier is pending, its end leads here again.
+void EngineClient::send_due_barrier() {
+    if (!synchronized_ || commands_.uncertain_call_reply_count() == 0)
         return;
-    const bool was_sent = run.sent_at != base::Timestamp(0);
-    const base::Duration age = was_sent ? link_lost_at_ - run.sent_at : base::Duration(0);
-    base::log_info(
-        "engine: call reply resent request={} first_sent={} sent_ms_before_loss={} link_lost_ms_ago={}",
-        run.name, was_sent, age.count() / 1000, (loop().unix_now() - link_lost_at_).count() / 1000);
+    if (const std::string query = begin_barrier(); !query.empty())
+        write(query);
 }
 
 }  // namespace cressledge::platform
--- a/src/platform/engine_client.hpp
+++ b/src/platform/engine_client.hpp
@@ -1,19 +1,25 @@
 // Client of the engine: sends commands and receives numbered notices over a connection that is reopened when it breaks.
 //
-// The engine may lose commands that were sent shortly before a connection broke. Each run therefore keeps its last
-// command until a notice confirms that the engine executed it; unconfirmed commands are sent again on the next link.
-// A link is synchronized once all notices missed since the previous link have been received. No command is sent before
-// that, since it might overtake one of those notices.
+// The engine may lose commands that were sent shortly before a connection broke. RunCommands keeps each run's last command
+// and decides which are sent again on the next link. A link is synchronized once all notices missed since the previous
+// link have been received. No command is sent before that, since it might overtake one of those notices.
+//
+// A call reply must not be sent twice to a run that has gone on to its next call. A CommandBarrier follows each reply on
+// the link; its end shows that the reply was executed. A reply without that, or sent just before the break, is sent again
+// only when a barrier of the new link has just ended and no part of a later notice has been read: until then the engine
+// had sent no notice of a next call.
 #pragma once
 
+#include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "base/log_rate_limiter.hpp"
+#include "platform/command_barrier.hpp"
 #include "platform/engine_protocol.hpp"
 #include "platform/frame_reader.hpp"
 #include "platform/reconnecting_link.hpp"
+#include "platform/run_commands.hpp"
 #include "request/request_manager.hpp"
 
 namespace cressledge::platform {
@@ -59,27 +65,9 @@
     void on_end(bool refused) override;
 
 private:
-    /// Whether a command may be sent twice. The engine could take a repeated call reply for the reply to the run's next
-    /// call.
-    enum class CommandType { repeatable, call_reply };
-
-    struct ActiveRun {
-        std::string name;
-        /// The last command; cleared once a notice confirms that the engine executed it.
-        std::string unconfirmed_command;
-        CommandType command_type = CommandType::repeatable;
-        /// Position of the command in the order of commands of all runs.
-        std::uint64_t sequence = 0;
-        /// When the command was sent; 0 if no synchronized link was open.
-        base::Timestamp sent_at{0};
-        bool suspend_requested = false;
-        /// The command was probably delivered: it is sent again only if no notice confirms it within the timeout.
-        bool awaiting_confirmation = false;
-    };
-
-    void send_command(request::RequestId request_id, std::string bytes,
-                      CommandType type = CommandType::repeatable);
+    void send_command(request::RequestId request_id, const std::string& bytes, RunCommands::CommandType type);
     void write(std::string_view bytes);
+    std::string begin_barrier();
 
     void handle(const engine_protocol::Ignored&) {}
     void handle(const engine_protocol::MalformedNotice&);
@@ -94,10 +82,10 @@
     request::RequestId confirm_last_command(std::string_view run_name);
 
     void on_synchronized();
-    bool was_probably_delivered(const ActiveRun& run) const;
-    bool needs_resend(ActiveRun& run) const;
     void resend_unconfirmed();
-    void log_resent_call_reply(const ActiveRun& run) const;
+    void on_barrier_ended(const BarrierResult& barrier);
+    void schedule_barrier(base::Duration min_delay);
+    void send_due_barrier();
     void mark_unsynchronized();
     void close_link(const char* reason);
     std::string synchronization_tag() const;
@@ -106,14 +94,14 @@
     const std::vector<std::string> gauge_names_;
     FrameReader frame_reader_;
     base::LogRateLimiter log_limiter_;
-    std::unordered_map<request::RequestId, ActiveRun> active_runs_;
-    std::unordered_map<std::string, request::RequestId> request_ids_by_name_;
+    RunCommands commands_;
+    CommandBarrier barrier_;
+    /// A barrier that ended while the bytes just received are being handled.
+    std::optional<BarrierResult> ended_barrier_;
+    base::TimerHandle barrier_timer_;
     std::uint64_t last_notice_ = 0;
-    std::uint64_t last_sequence_ = 0;
     /// Number of links opened so far; distinguishes the replies of one link from those of another.
     std::uint64_t link_epoch_ = 0;
-    /// When the last synchronized link ended.
-    base::Timestamp link_lost_at_{0};
     bool synchronized_ = false;
 };
 
--- a/src/platform/engine_client_messages.cpp
+++ b/src/platform/engine_client_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <utility>
 #include <variant>
 
 #include "base/log.hpp"
@@ -22,7 +24,7 @@
     while (stream() != nullptr) {
         const FrameReader::Status status = frame_reader_.read_frame(frame);
         if (status == FrameReader::Status::incomplete)
-            return;
+            break;
         if (status == FrameReader::Status::malformed)
             return close_link("malformed message");
         if (frame.tokens.empty())
@@ -30,6 +32,8 @@
         std::visit([this](const auto& message) { handle(message); },
                    engine_protocol::parse_message(frame, gauge_names_));
     }
+    if (const auto barrier = std::exchange(ended_barrier_, std::nullopt))
+        on_barrier_ended(*barrier);
 }
 
 void EngineClient::handle(const engine_protocol::MalformedNotice&) {
@@ -50,7 +54,7 @@
     const request::RequestId request_id = confirm_last_command(ended.run_name);
     if (request_id == 0)
         return;
-    active_runs_.at(request_id).suspend_requested = false;
+    commands_.clear_suspension(request_id);
     request_manager_.run_finished(request_id, ended.result, ended.body);
 }
 
@@ -62,18 +66,19 @@
 
 // Returns the request of the run, or 0 if there is none.
 request::RequestId EngineClient::confirm_last_command(std::string_view run_name) {
-    const auto found = request_ids_by_name_.find(std::string(run_name));
-    if (found == request_ids_by_name_.end())
-        return 0;
-    ActiveRun& run = active_runs_.at(found->second);
-    run.unconfirmed_command.clear();
-    run.awaiting_confirmation = false;
-    return found->second;
+    const request::RequestId request_id = commands_.find_request(run_name);
+    if (request_id != 0)
+        commands_.confirm(request_id);
+    return request_id;
 }
 
 void EngineClient::handle(const engine_protocol::GaugesReply& reply) {
     if (!synchronized_ && reply.tag == synchronization_tag())
         return on_synchronized();
+    if (const auto barrier = barrier_.end(reply.tag, loop().unix_now())) {
+        ended_barrier_ = barrier;
+        return;
+    }
     std::uint64_t query_id = 0;
     if (engine_protocol::parse_number(reply.tag, query_id))
         request_manager_.gauges_received(query_id, reply.gauges);
@@ -107,9 +112,9 @@
     if (!rejection.is_run)
         return;
     // The run never started, but its caller still needs a response.
-    const auto found = request_ids_by_name_.find(std::string(rejection.run_name));
-    if (found != request_ids_by_name_.end())
-        request_manager_.run_finished(found->second, request::RunResult::noop, {});
+    const request::RequestId request_id = commands_.find_request(rejection.run_name);
+    if (request_id != 0)
+        request_manager_.run_finished(request_id, request::RunResult::noop, {});
 }
 
 }  // namespace cressledge::platform
--- a/src/platform/frame_reader.hpp
+++ b/src/platform/frame_reader.hpp
@@ -35,6 +35,9 @@
     /// Discards all buffered bytes, for use with a new connection.
     void clear();
 
+    /// Whether no byte of a frame is buffered that was not read yet.
+    bool is_empty() const { return consumed_bytes_ == buffer_.size(); }
+
     /// Reads the next frame. After `malformed` the stream cannot be read any further.
     Status read_frame(Frame& frame);
 
--- a/tests/cressledge/platform_fixture.hpp
+++ b/tests/cressledge/platform_fixture.hpp
@@ -82,6 +82,53 @@
         engine.latest_peer().send("STATS " + tag + gauges);
     }
 
+    /// Runs the loop for `duration`.
+    void run_for(Duration duration) {
+        const Timestamp end = wall_clock_now() + duration;
+        test_loop.run_until([end] { return wall_clock_now() >= end; }, false);
+    }
+
+    /// The engine replies to the barrier query of which "STAT b" is received, and sends `following_bytes` behind it.
+    void answer_barrier(const std::string& following_bytes = "") {
+        test_loop.run_until([&] { return engine.has_received("STAT b"); });
+        StreamPeer& peer = engine.latest_peer();
+        const std::size_t begin = peer.received.find("STAT b");
+        test_loop.run_until([&] { return peer.received.find("\r\n", begin) != std::string::npos; });
+        const std::size_t end = peer.received.find("\r\n", begin);
+        const std::string tag = word_at(peer.received.substr(begin, end - begin), 1);
+        peer.received.erase(begin, end - begin);
+        peer.send("STATS " + tag + " 0.1 0 0.1 3\r\n" + following_bytes);
+    }
+
+    /// The engine replies to each barrier query until `is_done`, as it does at all times.
+    void answer_barriers_until(const std::function<bool()>& is_done) {
+        while (!is_done()) {
+            test_loop.run_until([&] { return is_done() || engine.has_received("STAT b"); }, false);
+            if (engine.has_received("STAT b"))
+                answer_barrier();
+        }
+    }
+
+    /// Starts a run and sends it the reply "a" to its call, notice 1. Returns its name; the barrier behind the reply is
+    /// not answered.
+    std::string start_run_with_call_reply(StreamPeer& caller) {
+        const std::string run = start_run(caller, "trail-sheet", "x");
+        engine.latest_peer().send("NEED 1 " + run + " 1\r\np\r\n");
+        test_loop.run_until([&] { return records.has_received("p\r\n"); });
+        records.latest_peer().send(run + " DONE 1\r\na\r\n");
+        test_loop.run_until([&] { return engine.has_received("FEED " + run + " 1\r\na\r\n"); });
+        return run;
+    }
+
+    /// Breaks the engine's link and synchronizes the next one.
+    void reconnect_engine() {
+        const std::size_t peer_count = engine.peers.size();
+        engine.latest_peer().close();
+        test_loop.run_until(
+            [&] { return engine.peers.size() > peer_count && engine.has_received("ATTACH "); });
+        synchronize_engine();
+    }
+
     /// The word of `line` at `index`, counted from 0.
     static std::string word_at(const std::string& line, std::size_t index) {
         std::size_t begin = 0;
--- a/tests/cressledge/records_client_test.cpp
+++ b/tests/cressledge/records_client_test.cpp
@@ -5,12 +5,6 @@
 
 using namespace cressledge::testing;
 
-/// Runs the loop for `duration`.
-void run_for(TestLoop& test_loop, Duration duration) {
-    const Timestamp end = wall_clock_now() + duration;
-    test_loop.run_until([end] { return wall_clock_now() >= end; }, false);
-}
-
 TEST_CASE("RecordsClient: a write is retried after a refused connection and never after a broken one") {
     PlatformFixture fixture;
     auto caller = fixture.connect_caller();
@@ -53,7 +47,7 @@
             fixture.engine.latest_peer().send("NEED 1 " + run + " 1\r\nq\r\n");
             fixture.test_loop.run_until([&] { return fixture.records.has_received("OP " + run); });
             leaving_caller->close();
-            run_for(fixture.test_loop, Duration(20'000));
+            fixture.run_for(Duration(20'000));
             take_log();
             if (reply[0] == '(')
                 fixture.records.latest_peer().close();
@@ -63,7 +57,7 @@
             const std::string other_run = fixture.start_run(*waiting_caller, "route-profile", "y");
             fixture.engine.latest_peer().send("DONE 2 " + other_run + " PASS 1 1\r\nz\r\n");
             fixture.expect_received(*waiting_caller, "HTTP/1.1 200");
-            run_for(fixture.test_loop, Duration(150'000));  // longer than the delay before a call is retried
+            fixture.run_for(Duration(150'000));  // longer than the delay before a call is retried
             CHECK(wall_clock_now() - failed_at < Duration(1'000'000));
             CHECK(take_log().find("answered=true") != std::string::npos);
             REQUIRE(fixture.records.peers.size() == 1);
