--- a/review/stands-2/platform_stands.py
+++ b/review/stands-2/platform_stands.py
@@ -90,61 +90,45 @@
 
 
 class Engine:
-    """The engine: owns the cores, which all runs that are not at a call share evenly.
+    """The engine at one address: owns the cores, which all runs that are not at a call share evenly.
 
-    `speed`: of a core. `cold`: None, or (share of the speed at the start, seconds until it is warm), evenly.
-    `piece_gap`: 0, or the seconds between the two pieces in which it writes every message.
-    """
+    `speed`: of a core."""
 
     tick = 0.005
 
-    def __init__(self, record, cores, speed=1.0, cold=None, piece_gap=0.0):
+    def __init__(self, record, cores, speed=1.0):
         self.record = record
         self.cores = cores
         self.speed = speed
-        self.cold = cold
-        self.piece_gap = piece_gap
+        self.machine = [self]  # the addresses of one engine, which share its cores
         self.runs = {}
         self.over = set()  # requests that were answered or given up
-        self.results = {}  # by the name of the run
         self.run_log = []  # (time in ms, name, class, body) of each run begun
         self.notices = []
         self.writer = None
         self.started = time.monotonic()
-        self.crowd = []  # (time, seconds, runs on the cores, runs that the cores survive)
-        self.fall_multiple = 5.0
         self.busy = 0.0
 
     async def start(self):
-        """Listens on two addresses, so that a configuration can move the link from one to the other."""
-        self.servers = [await asyncio.start_server(self.serve, "127.0.0.1", 0) for _ in range(2)]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.task = asyncio.create_task(self.work())
 
-    def speed_share(self):
-        """The share of its full speed that the server has now."""
-        if self.cold is None:
-            return 1.0
-        share, seconds = self.cold
-        return min(1.0, share + (1.0 - share) * (time.monotonic() - self.started) / seconds)
-
-    def survived(self):
-        return self.cores * (1.0 + (self.fall_multiple - 1.0) * self.speed_share())
-
     def running(self):
         return [run for run in self.runs.values() if run.on_core and not run.paused]
 
+    def load(self):
+        return sum(len(engine.running()) for engine in self.machine)
+
     async def work(self):
         last = time.monotonic()
         while True:
             await asyncio.sleep(self.tick)
             now = time.monotonic()
             seconds, last = now - last, now
-            running = self.running()
-            self.crowd.append((now, seconds, len(running), self.survived()))
-            busy = min(1.0, len(running) / self.cores)
-            self.busy += (busy - self.busy) * min(1.0, seconds / 0.5)
-            share = self.speed * self.speed_share() * min(1.0, self.cores / max(1, len(running)))
-            for run in running:
+            load = self.load()
+            self.busy += (min(1.0, load / self.cores) - self.busy) * min(1.0, seconds / 0.5)
+            share = self.speed * min(1.0, self.cores / max(1, load))
+            for run in self.running():
                 run.parts[0] -= seconds * share
                 if run.parts[0] <= 0.0:
                     self.finish_part(run)
@@ -153,7 +137,6 @@
         run.parts.pop(0)
         if not run.parts:
             result = b"result of " + run.name.encode() + b" " + run.body
-            self.results[run.name] = result
             self.end(run, "PASS", result)
         elif run.name in self.over:
             self.end(run, "KILLED")
@@ -174,20 +157,9 @@
         self.send(message)
 
     def send(self, message):
-        if self.writer is None:
-            return
-        if self.piece_gap > 0.0:
-            self.unsent.put_nowait(message)
-        else:
+        if self.writer is not None:
             self.writer.write(message)
 
-    async def write_in_pieces(self, writer, unsent):
-        while True:
-            message = await unsent.get()
-            writer.write(message[: len(message) // 2])
-            await asyncio.sleep(self.piece_gap)
-            writer.write(message[len(message) // 2 :])
-
     def request_over(self, name):
         """The request was answered, or its caller has given it up."""
         self.over.add(name)
@@ -199,8 +171,6 @@
         if self.writer is not None:
             self.writer.close()
         self.writer = writer
-        self.unsent = asyncio.Queue()
-        writing = asyncio.create_task(self.write_in_pieces(writer, self.unsent))
         try:
             while line := await reader.readline():
                 words = line.decode().split()
@@ -213,7 +183,6 @@
                 self.command(words, body)
         except (OSError, asyncio.IncompleteReadError):
             pass
-        writing.cancel()
         if self.writer is writer:
             self.writer = None
         writer.close()
@@ -222,8 +191,7 @@
         kind, name = words[0], words[1]
         run = self.runs.get(name)
         if kind == "ATTACH":
-            state = "LOADED" if self.cold is None else "EMPTY"
-            self.send(f"HELLO {state} {(time.monotonic() - self.started) * 1000:.0f}\r\n".encode())
+            self.send(f"HELLO LOADED {(time.monotonic() - self.started) * 1000:.0f}\r\n".encode())
             for notice in self.notices[int(name) :]:
                 self.send(notice)
         elif kind == "RUN" and run is None:
@@ -241,8 +209,7 @@
         elif kind == "RESUME" and run is not None:
             run.paused = False
         elif kind == "STAT":
-            load = len(self.running())
-            self.send(f"STATS {name} {self.busy:.3f} {load} 0.1 10\r\n".encode())
+            self.send(f"STATS {name} {self.busy:.3f} {self.load()} 0.1 10\r\n".encode())
         elif kind == "TEST":
             self.send(f"TESTED {name} PASS\r\n".encode())
 
@@ -254,22 +221,6 @@
         self.run_log.append((now_ms(), run.name, run.class_name, run.body))
         self.record.add(f"engine: RUN {run.name} {run.class_name} {run.body.decode()}")
 
-    def worst_crowd(self, window):
-        """The highest mean of the runs on the cores over `window` seconds, as a share of what the server
-        survives at the end of that window, with both numbers."""
-        worst = (0.0, 0.0, 0.0)
-        first = 0
-        seconds = load = 0.0
-        for _, length, count, survived in self.crowd:
-            seconds, load = seconds + length, load + count * length
-            while seconds - self.crowd[first][1] >= window:
-                _, old, old_count, _ = self.crowd[first]
-                seconds, load = seconds - old, load - old_count * old
-                first += 1
-            if seconds >= window and load / seconds / survived > worst[0]:
-                worst = (load / seconds / survived, load / seconds, survived)
-        return worst
-
 
 class Records:
     """The records service: a call takes `call_seconds`; one given up stays for `stays_for` at most."""
@@ -609,17 +560,17 @@
 
     async def add_engine(self):
         engine = Engine(self.record, self.settings["domain"]["cores"], **self.engine_options)
-        engine.fall_multiple = self.settings["contract"]["fall-multiple"]
         await engine.start()
         self.engines.append(engine)
+        engine.machine = self.engines
         return engine
 
-    def write_config(self, settings=None, engine_address=0):
-        """Writes the configuration whole, as the platform does. `engine_address`: 0 or 1, of its two."""
+    def write_config(self, settings=None):
+        """Writes the configuration whole, as the platform does."""
         config = {
             "name": "n3",
             "listen": f"127.0.0.1:{self.listen_port}",
-            "engine": address_of(self.engines[-1].servers[engine_address]),
+            "engine": address_of(self.engines[-1].server),
             "lookup": address_of(self.directory.server),
             "records": address_of(self.records.server),
             "seed": "8c1f30d27a5be964",
@@ -710,6 +661,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
+        # A case that is told to end ends what it started.
+        playing = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
         deployment = make_deployment(record)
         try:
             return await asyncio.wait_for(play(deployment, trouble), MAX_CASE_SECONDS)
@@ -723,7 +677,7 @@
             record.lines.append(f"broken: {breach}")
             print(f"broken: {breach}")
         print("the rule was broken" if breaches else "the rule held")
-    except Exception as error:  # whatever went wrong, it was not the rule
+    except (Exception, asyncio.CancelledError) as error:  # whatever went wrong, it was not the rule
         record.lines.append(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         status = COULD_NOT_RUN
