Log when a listening socket closes and which signals a supervisor sends

New lines: `frontend: listening socket closed` with the reason, whether the socket is shared and the time since the notice; `supervisor: shutdown requested`; `supervisor: signal sent`.

--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.hpp"
+
 namespace cressledge::frontend {
 namespace {
 
@@ -120,7 +122,7 @@
     if (!is_socket_inherited_ || draining_)
         return;
     handing_over_ = true;
-    stop_listening();
+    stop_listening("handed over", 0);
 }
 
 void Frontend::start_drain() {
@@ -146,15 +148,21 @@
         are_descriptors_exhausted = !lease;
         if (lease)
             is_backlog_waiting = accept_connection(std::move(lease));
-        ++accepted;
+        if (!are_descriptors_exhausted && is_backlog_waiting)
+            ++accepted;
     }
     // Descriptors are released when other connections close.
     if (are_descriptors_exhausted && !is_final_attempt)
         return listener_.set_paused(true);
-    stop_listening();
+    stop_listening("drained", accepted);
 }
 
-void Frontend::stop_listening() {
+void Frontend::stop_listening(const char* reason, std::size_t backlog_accepted) {
+    const base::Duration since_notice = request_manager_.now() - request_manager_.shutdown_noticed_at();
+    base::log_info(
+        "frontend: listening socket closed port={} shared={} reason=\"{}\" backlog_accepted={} "
+        "since_notice_ms={}",
+        listener_.port(), is_socket_inherited_, reason, backlog_accepted, since_notice.count() / 1000);
     is_listening_ = false;
     listener_.close();
     listener_lease_.release();
--- a/src/frontend/frontend.hpp
+++ b/src/frontend/frontend.hpp
@@ -83,7 +83,8 @@
     bool accept_connection(connection_admission::FileDescriptorBudget::Lease lease);
     void admit_connection(Session& session);
     void remove_session(base::SlotId session_id);
-    void stop_listening();
+    /// Closes the listening socket and logs why. `backlog_accepted`: connections taken from the backlog before.
+    void stop_listening(const char* reason, std::size_t backlog_accepted);
 
     base::TimerQueue& timers_;
     request::RequestManager& request_manager_;
--- a/src/request/request_manager.hpp
+++ b/src/request/request_manager.hpp
@@ -108,6 +108,8 @@
     void drain(Timestamp deadline);
     /// Whether the graceful shutdown has started.
     bool draining() const { return draining_; }
+    /// When the notice of the shutdown came. Valid only while draining.
+    Timestamp shutdown_noticed_at() const { return shutdown_noticed_at_; }
     /// The absolute time at which the process exits. Valid only while draining.
     Timestamp shutdown_deadline() const { return shutdown_deadline_; }
 
@@ -251,7 +253,6 @@
     Timestamp latest_time_{0};
     bool started_ = false;
     bool draining_ = false;
-    /// When the notice of the shutdown came. Valid only while draining.
     Timestamp shutdown_noticed_at_{0};
     Timestamp shutdown_deadline_{0};
     /// The health of the process as the controllers last set it.
--- a/src/supervisor/supervisor.cpp
+++ b/src/supervisor/supervisor.cpp
@@ -85,6 +85,8 @@
 }
 
 void Supervisor::shut_down() {
+    base::log_info("supervisor: shutdown requested processes={} children={}", processes_.size(),
+                   child_count_);
     for (const auto& process : processes_) {
         ProcessLifecycle::Actions actions;
         process->lifecycle.shut_down(loop_.unix_now(), actions);
@@ -106,7 +108,6 @@
 }
 
 void Supervisor::execute(SupervisedProcess& process, const LifecycleAction& action) {
-    ChildProcess* const child = process.find_child(action.generation);
     switch (action.type) {
         case LifecycleAction::Type::start:
             spawn(process, action.generation, action.spec);
@@ -119,20 +120,26 @@
             write_settings_or_log(process, action.spec);
             break;
         case LifecycleAction::Type::hand_over:
-            if (child != nullptr)
-                child->send_signal(SIGUSR2);
+            send_signal(process, action.generation, SIGUSR2);
             break;
         case LifecycleAction::Type::terminate:
-            if (child != nullptr)
-                child->send_signal(SIGTERM);
+            send_signal(process, action.generation, SIGTERM);
             break;
         case LifecycleAction::Type::kill:
-            if (child != nullptr)
-                child->send_signal(SIGKILL);
+            send_signal(process, action.generation, SIGKILL);
             break;
     }
 }
 
+void Supervisor::send_signal(const SupervisedProcess& process, Generation generation, int signal) {
+    ChildProcess* const child = process.find_child(generation);
+    if (child == nullptr)
+        return;
+    base::log_info("supervisor: signal sent process={} generation={} pid={} signal={}", process.settings.id,
+                   generation, child->pid(), signal);
+    child->send_signal(signal);
+}
+
 void Supervisor::schedule_lifecycle_timer(SupervisedProcess& process) {
     process.lifecycle_timer.cancel();
     const Timestamp deadline = process.lifecycle.next_deadline();
--- a/src/supervisor/supervisor.hpp
+++ b/src/supervisor/supervisor.hpp
@@ -66,6 +66,7 @@
 private:
     void execute(SupervisedProcess& process, const ProcessLifecycle::Actions& actions);
     void execute(SupervisedProcess& process, const LifecycleAction& action);
+    void send_signal(const SupervisedProcess& process, Generation generation, int signal);
     void spawn(SupervisedProcess& process, Generation generation, const ProcessSpec& spec);
     void on_exited(SupervisedProcess& process, Generation generation, const ExitStatus& status);
     void write_settings_or_log(const SupervisedProcess& process, const ProcessSpec& spec);
--- a/src/supervisor/supervisor_polls.cpp
+++ b/src/supervisor/supervisor_polls.cpp
@@ -112,7 +112,7 @@
         process.lifecycle.on_settings_applied(loop_.unix_now(), false, error.what(), actions);
         return;
     }
-    process.children.at(generation)->send_signal(SIGHUP);
+    send_signal(process, generation, SIGHUP);
 }
 
 }  // namespace cressledge::supervisor
