A supervisor's shutdown leaves no caller on sockets that nobody serves

Cause: SIGTERM, which has no successor, took the same step as SIGUSR2, which has one: the process closed its inherited listening socket. The supervisor kept its own descriptor until it ended, so that the system went on accepting.

Change: a shutdown is told whether there is a successor. Without one the process accepts until it drains, takes the backlog and closes its sockets; the supervisor closes its descriptors when it passes the notice on, so the last process decides when callers are refused. SIGUSR2 after SIGTERM still hands the socket over. A warning at the start if drained_ms is not above stop_ms.

--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -118,10 +118,10 @@
     }
 }
 
-void Frontend::start_handover() {
-    if (!is_socket_inherited_ || draining_)
+void Frontend::yield_to(Successor successor) {
+    if (!is_socket_inherited_ || !is_listening_ || successor == Successor::none)
         return;
-    handing_over_ = true;
+    is_yielding_ = true;
     stop_listening("handed over", 0);
 }
 
--- a/src/frontend/frontend.hpp
+++ b/src/frontend/frontend.hpp
@@ -4,11 +4,15 @@
 /// which connections are admitted, request::RequestManager which requests run, and ShutdownCoordinator when the
 /// process stops.
 ///
+/// A listening socket may be shared with other processes. Callers are refused once every process has closed it, so a
+/// process that shuts down closes it at once only for a successor, which accepts what waits in the backlog.
+///
 /// Invariants: a session is looked up by its id only, and ids are never reused, so that an event for a removed session
 /// is ignored. The listening socket is not closed while its backlog may hold a connection, unless another process
-/// shares the socket.
+/// accepts from it.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -21,6 +25,14 @@
 
 namespace cressledge::frontend {
 
+/// Whether another process accepts from a shared listening socket when this process shuts down.
+enum class Successor : std::uint8_t {
+    /// None: this process accepts until it drains.
+    none,
+    /// One does: this process stops accepting at once.
+    present,
+};
+
 /// The listener of one protocol, which is the protocol of the sessions that the session factory makes.
 class Frontend final : public request::Responder {
 public:
@@ -51,10 +63,10 @@
     /// Accepts from the backlog again. To be called when a descriptor may have become available.
     void resume_accepting();
 
-    /// First step of a graceful shutdown. Closes a listening socket that is shared with other processes, so that new
-    /// connections wait in its backlog for the next process. A socket of this process alone stays open until
-    /// start_drain().
-    void start_handover();
+    /// First step of a graceful shutdown: leaves new connections to the successor, if this process shares its listening
+    /// socket and there is one. Otherwise they are accepted until start_drain(). May be called again when more is
+    /// known.
+    void yield_to(Successor successor);
     /// Closes idle connections at once and the others after their next response. Accepts the connections that are
     /// already in the backlog.
     void start_drain();
@@ -97,10 +109,10 @@
     base::Duration idle_limit_{0};
     bool is_listening_ = true;
     bool draining_ = false;
-    /// Whether the listening socket is shared with other processes.
+    /// Whether the listening socket was inherited, and may be shared with other processes.
     const bool is_socket_inherited_;
-    /// Whether this process has closed the shared socket.
-    bool handing_over_ = false;
+    /// Whether new connections are left to another process that accepts them.
+    bool is_yielding_ = false;
     connection_admission::FileDescriptorBudget::Lease listener_lease_;
     net::Listener listener_;
 };
--- a/src/frontend/session.cpp
+++ b/src/frontend/session.cpp
@@ -179,9 +179,9 @@
     finish_request(bytes, close);
 }
 
-// After the listening socket is handed over, a caller has to open a new connection, which reaches the next process.
+// Once new connections are left to a successor, a caller has to open one, which reaches the successor.
 bool Session::should_close_after_response() const {
-    return !keep_alive() || lifecycle_.announces_close() || frontend_.draining_ || frontend_.handing_over_ ||
+    return !keep_alive() || lifecycle_.announces_close() || frontend_.draining_ || frontend_.is_yielding_ ||
            admission_ != AdmissionState::admitted;
 }
 
--- a/src/frontend/shutdown_coordinator.cpp
+++ b/src/frontend/shutdown_coordinator.cpp
@@ -44,16 +44,19 @@
         frontend->set_idle_limit(limit);
 }
 
-void ShutdownCoordinator::start_graceful_shutdown() {
-    if (request_manager_.draining())
-        return;
+void ShutdownCoordinator::start_graceful_shutdown(Successor successor) {
+    if (!request_manager_.draining())
+        begin_shutdown();
+    for (const auto& frontend : frontends_)
+        frontend->yield_to(successor);
+}
+
+void ShutdownCoordinator::begin_shutdown() {
     const base::Timestamp now = request_manager_.now();
     const base::Timestamp stop_at = now + stop_delay_;
     base::log_info("frontend: graceful shutdown started unanswered={} stop_ms={}",
                    request_manager_.unanswered_count(), stop_delay_.count() / 1000);
     request_manager_.drain(stop_at);
-    for (const auto& frontend : frontends_)
-        frontend->start_handover();
     timers_.schedule_detached(std::max(now, stop_at - connection_close_lead), [this] { start_drain(); });
 }
 
--- a/src/frontend/shutdown_coordinator.hpp
+++ b/src/frontend/shutdown_coordinator.hpp
@@ -1,7 +1,8 @@
 /// Graceful shutdown of all frontends of a process.
 ///
-/// Owns the frontends. After the shutdown notice it hands over shared listening sockets, later drains the connections,
-/// and stops the loop when all requests have their responses, at the latest just before the process is stopped.
+/// Owns the frontends. After the shutdown notice it leaves shared listening sockets to a successor, if there is one,
+/// later drains the connections, and stops the loop when all requests have their responses, at the latest just before
+/// the process is stopped.
 ///
 /// Invariant: every request that was read gets its response before the loop is stopped.
 #pragma once
@@ -28,12 +29,14 @@
     Frontend& last_frontend() { return *frontends_.back(); }
     /// Sets the admission controller's idle limit on every frontend. 0: none.
     void set_idle_limit(base::Duration limit);
-    /// Starts the shutdown. A second call has no effect.
-    void start_graceful_shutdown();
+    /// Starts the shutdown. `successor`: whether another process accepts the connections that come from now on. A second
+    /// call only tells of a successor.
+    void start_graceful_shutdown(Successor successor = Successor::none);
     /// Appends the metrics `node.connections.X`: closed connections by cause, summed over all frontends.
     void collect_connection_metrics(base::Metrics& out) const;
 
 private:
+    void begin_shutdown();
     void start_drain();
     void advance_drain();
     bool has_unfinished_work() const;
--- a/src/platform/platform_node.cpp
+++ b/src/platform/platform_node.cpp
@@ -153,7 +153,7 @@
 }
 
 void PlatformNode::begin_graceful_shutdown() {
-    shutdown_coordinator_.start_graceful_shutdown();
+    shutdown_coordinator_.start_graceful_shutdown(frontend::Successor::present);
     directory_reporter_.report(DirectoryReporter::Mode::closed);
 }
 
--- a/src/supervisor/listening_socket.cpp
+++ b/src/supervisor/listening_socket.cpp
@@ -25,8 +25,12 @@
 }
 
 ListeningSocket::~ListeningSocket() {
+    close();
+}
+
+void ListeningSocket::close() {
     if (descriptor_ >= 0)
-        ::close(descriptor_);
+        ::close(std::exchange(descriptor_, -1));
 }
 
 }  // namespace cressledge::supervisor
--- a/src/supervisor/listening_socket.hpp
+++ b/src/supervisor/listening_socket.hpp
@@ -19,11 +19,14 @@
     ListeningSocket& operator=(ListeningSocket&& other) noexcept;
     ~ListeningSocket();
 
+    /// Closes the descriptor. The socket refuses callers once every process that inherited it has closed it too.
+    void close();
+
     /// Whether there is a socket.
     bool is_open() const { return descriptor_ >= 0; }
-    /// The file descriptor, still owned by this object; -1 without a socket.
+    /// The file descriptor, still owned by this object; -1 without a socket or after `close`.
     int descriptor() const { return descriptor_; }
-    /// The address with the bound port; empty without a socket.
+    /// The address with the bound port, also after `close`; empty without a socket.
     const std::string& address() const { return address_; }
 
 private:
--- a/src/supervisor/supervisor.cpp
+++ b/src/supervisor/supervisor.cpp
@@ -57,6 +57,10 @@
                     net::ListenEndpoint{*net::Address::parse(settings.admin_address)}, *this) {
     for (const ProcessSettings& process_settings : settings.processes) {
         const config::OperatorConfig config = config::load_operator_config(process_settings.settings_file);
+        if (config.stop_delay >= settings.policy.drain_timeout)
+            base::log_warning("supervisor: drained_ms not above stop_ms process={} drained_ms={} stop_ms={}",
+                              process_settings.id, settings.policy.drain_timeout.count() / 1000,
+                              config.stop_delay.count() / 1000);
         auto process = std::make_unique<SupervisedProcess>(process_settings, settings.policy);
         process->scgi_socket = ListeningSocket(config.scgi_address);
         process->http_socket = ListeningSocket(config.http_address);
@@ -91,6 +95,9 @@
         ProcessLifecycle::Actions actions;
         process->lifecycle.shut_down(loop_.unix_now(), actions);
         execute(*process, actions);
+        // From here on the processes alone decide how long callers are accepted.
+        process->scgi_socket.close();
+        process->http_socket.close();
     }
 }
 
--- a/src/supervisor/supervisor.hpp
+++ b/src/supervisor/supervisor.hpp
@@ -46,7 +46,8 @@
     /// Starts all processes.
     void start();
 
-    /// Makes all processes drain and exit; `is_finished` returns true when they have.
+    /// Makes all processes drain and exit, and closes this process's descriptors of their public sockets, so that callers
+    /// are refused as soon as the processes have closed theirs. `is_finished` returns true when all have exited.
     void shut_down();
     /// Whether all processes have exited after `shut_down`.
     bool is_finished() const;
--- a/src/upstream/gateway.hpp
+++ b/src/upstream/gateway.hpp
@@ -49,7 +49,8 @@
     /// Installs the signal handlers.
     void start();
 
-    /// Leaves the fleet, answers the requests that have been read, and ends the event loop.
+    /// Shuts down gracefully without a successor: leaves the fleet, answers the requests that reach the listening sockets
+    /// until these are closed, and ends the event loop.
     void begin_graceful_shutdown();
 
     /// Shuts down gracefully in favour of a process that continues under the same member id: this process does not
--- a/tools/fault_injection/child_process.hpp
+++ b/tools/fault_injection/child_process.hpp
@@ -31,6 +31,8 @@
         if (is_running_)
             uv_process_kill(&handle_, signal);
     }
+    /// The process id.
+    int pid() const { return handle_.pid; }
     /// Whether the process was running at the last iteration of the event loop.
     bool is_running() const { return is_running_; }
     /// Exit status of the ended process; -1 if a signal ended it.
