A supervisor's shutdown awaits a process that serves those who wait

Callers saw: requests that waited for the first process to be ready, or for a crashed one to be started again, were accepted by the system and reset when the supervisor was told to leave.

Cause: the shutdown sent SIGTERM to a process that was not ready, which ends it before it has accepted anything, and gave a crashed process up. Ruled out: the sockets; they were open, and no process was there to accept.

Change: the lifecycle ends the processes when one of them serves. One that is starting is awaited, up to ready_ms; in place of a crashed one another is started at once. If it fails, it is not tried again and those who wait are reset, as before.

--- a/src/supervisor/process_lifecycle.cpp
+++ b/src/supervisor/process_lifecycle.cpp
@@ -78,6 +78,11 @@
 }
 
 void ProcessLifecycle::on_ready(Timestamp now, Generation generation, Actions& actions) {
+    if (is_shutting_down_) {
+        if (generation == current_generation_ || generation == successor_generation_)
+            terminate_all(now, actions);
+        return;
+    }
     if (generation == successor_generation_ && successor_generation_ != no_generation) {
         replace_current(now, actions);
         begin_next_change(now, actions);
@@ -211,8 +216,16 @@
 void ProcessLifecycle::shut_down(Timestamp now, Actions& actions) {
     if (is_shutting_down_)
         return;
+    const bool has_crashed = restart_at_ != Timestamp::max() && successor_generation_ == no_generation;
+    if (has_crashed)
+        start_current(now, actions);
     is_shutting_down_ = true;
     restart_at_ = Timestamp::max();
+    if (is_current_ready_)
+        terminate_all(now, actions);
+}
+
+void ProcessLifecycle::terminate_all(Timestamp now, Actions& actions) {
     step_deadline_ = Timestamp::max();
     for (Generation* generation : {&current_generation_, &successor_generation_}) {
         if (*generation == no_generation)
--- a/src/supervisor/process_lifecycle.hpp
+++ b/src/supervisor/process_lifecycle.hpp
@@ -6,6 +6,9 @@
 ///   ready    -> draining    its successor is ready and replaces it; it answers the requests that it has read and exits
 ///   ready    -> (exited)    an unrequested exit, that is a crash; it is restarted with exponential backoff
 ///
+/// A shutdown ends the serving process and its successor at once. If no process serves, one that is starting is awaited
+/// first, or started in place of a crashed one: it answers the requests that wait on the sockets.
+///
 /// Invariants: there is at most one successor at a time; the serving process is always the last one that became
 /// ready; a finished change has either succeeded, or failed and left the previous spec active.
 #pragma once
@@ -91,7 +94,7 @@
     /// Time of the next call of `on_timer`; `Timestamp::max()` if there is no deadline.
     Timestamp next_deadline() const;
 
-    /// Terminates all processes; none is started again.
+    /// Terminates all processes as soon as one of them serves; none is started after this call.
     void shut_down(Timestamp now, Actions& actions);
 
     /// Clears the result of the last change. A change in progress continues.
@@ -131,6 +134,7 @@
     Generation launch(Timestamp now, const ProcessSpec& spec, Actions& actions);
     void begin_next_change(Timestamp now, Actions& actions);
     void replace_current(Timestamp now, Actions& actions);
+    void terminate_all(Timestamp now, Actions& actions);
     void on_current_exited(Timestamp now, Actions& actions);
     void abandon_successor(Timestamp now, Actions& actions);
     void kill_overdue_draining(Timestamp now, Actions& actions);
--- a/tests/cressledge/process_lifecycle_test.cpp
+++ b/tests/cressledge/process_lifecycle_test.cpp
@@ -121,3 +121,59 @@
     fixture.lifecycle.on_exited(seconds(51), 4, fixture.actions);
     CHECK((fixture.lifecycle.is_finished() && fixture.lifecycle.crash_count() == 3));
 }
+
+TEST_CASE("process lifecycle: a shutdown awaits a process that serves, and ends every process then") {
+    // Before the first process is ready, a second request included.
+    LifecycleFixture starting;
+    starting.lifecycle.start_current(seconds(0), starting.actions);
+    starting.actions.clear();
+    starting.lifecycle.shut_down(seconds(1), starting.actions);
+    starting.lifecycle.shut_down(seconds(1.5), starting.actions);
+    CHECK((starting.take_actions().empty() && !starting.lifecycle.is_finished()));
+    starting.lifecycle.on_ready(seconds(2), 1, starting.actions);
+    CHECK(starting.take_actions() == "terminate 1 ;");
+    CHECK(starting.lifecycle.next_deadline() == seconds(12));
+    starting.lifecycle.on_timer(seconds(12), starting.actions);
+    CHECK(starting.take_actions() == "kill 1 ;");
+    starting.lifecycle.on_exited(seconds(12.1), 1, starting.actions);
+    CHECK((starting.lifecycle.is_finished() && starting.actions.empty()));
+
+    // A process that is never ready is killed as without a shutdown, and not started again.
+    LifecycleFixture never;
+    never.lifecycle.start_current(seconds(0), never.actions);
+    never.lifecycle.shut_down(seconds(1), never.actions);
+    never.actions.clear();
+    CHECK(never.lifecycle.next_deadline() == seconds(10));
+    never.lifecycle.on_timer(seconds(10), never.actions);
+    CHECK(never.take_actions() == "kill 1 ;");
+    never.lifecycle.on_exited(seconds(10.1), 1, never.actions);
+    CHECK((never.lifecycle.is_finished() && never.actions.empty()));
+
+    // While a crashed process waits for its restart, and while its successor starts.
+    for (const bool has_successor : {false, true}) {
+        LifecycleFixture crashed;
+        crashed.lifecycle.start_current(seconds(0), crashed.actions);
+        crashed.lifecycle.on_ready(seconds(1), 1, crashed.actions);
+        if (has_successor)
+            crashed.lifecycle.request_spec(seconds(2), {"new", ""}, crashed.actions);
+        crashed.lifecycle.on_exited(seconds(2.5), 1, crashed.actions);
+        crashed.actions.clear();
+        crashed.lifecycle.shut_down(seconds(2.6), crashed.actions);
+        CHECK(crashed.take_actions() == (has_successor ? "" : "start 2 old;"));
+        crashed.lifecycle.on_ready(seconds(3), 2, crashed.actions);
+        CHECK(crashed.take_actions() == "terminate 2 ;");
+        crashed.lifecycle.on_exited(seconds(4), 2, crashed.actions);
+        CHECK(crashed.lifecycle.is_finished());
+    }
+
+    // While a change is under way the serving process and its successor end at once.
+    LifecycleFixture changing;
+    changing.lifecycle.start_current(seconds(0), changing.actions);
+    changing.lifecycle.on_ready(seconds(1), 1, changing.actions);
+    changing.lifecycle.request_spec(seconds(2), {"new", ""}, changing.actions);
+    changing.actions.clear();
+    changing.lifecycle.shut_down(seconds(3), changing.actions);
+    CHECK(changing.take_actions() == "terminate 1 ;terminate 2 ;");
+    changing.lifecycle.on_ready(seconds(3.1), 2, changing.actions);
+    CHECK(changing.actions.empty());
+}
--- a/tests/cressledge/supervisor_shutdown_test.cpp
+++ b/tests/cressledge/supervisor_shutdown_test.cpp
@@ -22,6 +22,27 @@
     }
 }
 
+TEST_CASE("supervisor shutdown: requests that wait for the first process to be ready are answered") {
+    SupervisorFixture fixture({.before_program = "sleep 0.6"});
+    fixture.load->start();
+    fixture.run_for(Duration(200'000));
+    fixture.supervisor->send_signal(SIGTERM);
+    fixture.run_for(Duration(100'000));
+    fixture.supervisor->send_signal(SIGTERM);
+    fixture.expect_clean_end();
+}
+
+TEST_CASE("supervisor shutdown: requests that wait for a crashed process are answered") {
+    SupervisorFixture fixture({.back_off_ms = 20'000});
+    fixture.wait_until_serving();
+    ::kill(fixture.serving_pid(), SIGKILL);
+    fixture.test_loop.run_until([&] { return fixture.processes()[0]["serving"] == 0; }, false);
+    fixture.load->start();
+    fixture.run_for(Duration(200'000));
+    fixture.supervisor->send_signal(SIGTERM);
+    fixture.expect_clean_end();
+}
+
 TEST_CASE("supervisor shutdown: a change of the program that is under way loses no request") {
     SupervisorFixture fixture({});
     const std::string slow = fixture.write_program("slow", "sleep 0.4");
