A notice to leave during the start of a process does not kill it

A process that was told to leave (SIGTERM, SIGINT, by a terminal or a service manager also to the children of a supervisor) after its listening socket was open and before its handlers were installed ended by the signal, and reset the connections that waited on its socket.

--- a/tests/cressledge/supervisor_shutdown_test.cpp
+++ b/tests/cressledge/supervisor_shutdown_test.cpp
@@ -1,5 +1,7 @@
 // The end of a supervisor and of its processes, at every moment of their lives, under load on both frontends. Guards
 // against connections that the system accepts on a listening socket which no process serves any more.
+#include <sys/stat.h>
+
 #include "supervisor_fixture.hpp"
 
 namespace {
@@ -134,4 +136,24 @@
     fixture.expect_clean_end();
 }
 
+TEST_CASE("serve: a notice that comes during the start ends the process gracefully") {
+    TestLoop test_loop;
+    TemporaryDirectory directory;
+    directory.write_file("servers.csv", "name,address,protocol,group\nup,127.0.0.1:9,scgi,maps\n");
+    const std::string operator_file = directory.path + "/operator.yaml";
+    // The process waits here until the file is written.
+    REQUIRE(::mkfifo(operator_file.c_str(), 0600) == 0);
+    directory.files.push_back(operator_file);
+    fault_injection::ChildProcess process(test_loop.loop,
+                                          {CRESSLEDGE_PROGRAM, "serve", "--operator", operator_file},
+                                          directory.write_file("serve.log", ""));
+    std::ofstream file(operator_file);
+    process.send_signal(SIGTERM);
+    file << "listen: {http: \"127.0.0.1:0\"}\ninventory: servers.csv\ncores: 1\nstop_ms: 700\nclasses:\n"
+            "  - {name: trail-sheet, effect: safe, target_ms: 2900, deadline_ms: 8800}\n";
+    file.close();
+    test_loop.run_until([&] { return !process.is_running(); });
+    CHECK(process.exit_status() == 0);
+}
+
 }  // namespace
