A stop without a successor answers who connects to the platform's socket

Callers would see: on a listening socket that the platform hands down (NODE_ACCEPT_FD) every connection after SIGTERM is accepted by the system and read by nobody, if no new process comes.

Cause: the platform sends the same signal for an upgrade and for a stop, and the process closed the socket at each. Ruled out: a request that is read and not answered; no RUN reached the engine.

Change: the process keeps the socket, leaves new connections to others and accepts those that nobody accepts: a backlog that is not empty at ten looks, 10 ms apart. Not taken: accepting beside the successor, which costs rejections after the grace.

Tests: two cases of takeover_test and one of the detector; the first failed before (its first request was never run).

--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -13,6 +13,8 @@
 /// Limits the accepts in one turn of the loop, so that a burst of new connections does not delay open ones. Further
 /// connections wait in the backlog.
 constexpr std::size_t max_accepts_per_turn = 64;
+/// Interval of the looks at the backlog of a shared listening socket while a connection waits in it.
+constexpr base::Duration backlog_check_interval{10'000};
 /// Limits the accepts from the backlog before the listening socket is closed.
 constexpr std::size_t max_accepts_at_close = 1024;
 
@@ -28,7 +30,7 @@
       admitter_(admitter),
       listener_index_(admitter.register_frontend(*this)),
       is_socket_inherited_(endpoint.inherited_fd >= 0),
-      listener_(loop.uv(), endpoint, [this] { accept_pending(); }) {
+      listener_(loop.uv(), endpoint, [this] { on_connection_waiting(); }) {
     listener_lease_ = admitter_.descriptors().try_acquire(request_manager_.now(),
                                                           connection_admission::DescriptorPurpose::listener);
 }
@@ -42,6 +44,32 @@
     }
 }
 
+void Frontend::on_connection_waiting() {
+    if (!is_yielding_)
+        return accept_pending();
+    listener_.set_paused(true);
+    if (!backlog_check_timer_.is_scheduled())
+        check_shared_backlog();
+}
+
+void Frontend::check_shared_backlog() {
+    if (!is_listening_)
+        return;
+    const bool was_unclaimed = unclaimed_backlog_.has_found_unclaimed();
+    const bool is_unclaimed = unclaimed_backlog_.observe(listener_.has_waiting_connection());
+    if (unclaimed_backlog_.is_undecided()) {
+        backlog_check_timer_ = timers_.schedule(request_manager_.now() + backlog_check_interval,
+                                                [this] { check_shared_backlog(); });
+        return;
+    }
+    listener_.set_paused(false);
+    if (!is_unclaimed)
+        return;
+    if (!was_unclaimed)
+        base::log_info("frontend: connections accepted that no successor accepts port={}", listener_.port());
+    accept_pending();
+}
+
 void Frontend::accept_pending() {
     for (std::size_t accepted = 0; accepted < max_accepts_per_turn && !draining_; ++accepted) {
         auto lease = admitter_.acquire_descriptor();
@@ -122,7 +150,8 @@
     if (!is_socket_inherited_ || !is_listening_ || successor == Successor::none)
         return;
     is_yielding_ = true;
-    stop_listening("handed over", 0);
+    if (successor == Successor::present)
+        stop_listening("handed over", 0);
 }
 
 void Frontend::start_drain() {
@@ -140,6 +169,11 @@
 void Frontend::drain_backlog(bool is_final_attempt) {
     if (!is_listening_)
         return;
+    if (is_yielding_ && !unclaimed_backlog_.has_found_unclaimed()) {
+        if (unclaimed_backlog_.is_undecided() && !is_final_attempt)
+            return;
+        return stop_listening("left to a successor", 0);
+    }
     bool is_backlog_waiting = true;
     bool are_descriptors_exhausted = false;
     std::size_t accepted = 0;
@@ -164,6 +198,7 @@
         "since_notice_ms={}",
         listener_.port(), is_socket_inherited_, reason, backlog_accepted, since_notice.count() / 1000);
     is_listening_ = false;
+    backlog_check_timer_.cancel();
     listener_.close();
     listener_lease_.release();
 }
--- a/src/frontend/frontend.hpp
+++ b/src/frontend/frontend.hpp
@@ -19,6 +19,7 @@
 #include "frontend/connection_admitter.hpp"
 #include "frontend/connection_lifecycle.hpp"
 #include "frontend/session.hpp"
+#include "frontend/unclaimed_backlog_detector.hpp"
 #include "net/loop.hpp"
 #include "net/stream.hpp"
 #include "request/request_manager.hpp"
@@ -31,6 +32,8 @@
     none,
     /// One does: this process stops accepting at once.
     present,
+    /// The notice does not tell: this process accepts only what nobody else accepts.
+    unknown,
 };
 
 /// The listener of one protocol, which is the protocol of the sessions that the session factory makes.
@@ -64,14 +67,15 @@
     void resume_accepting();
 
     /// First step of a graceful shutdown: leaves new connections to the successor, if this process shares its listening
-    /// socket and there is one. Otherwise they are accepted until start_drain(). May be called again when more is
+    /// socket and there may be one. Otherwise they are accepted until start_drain(). May be called again when more is
     /// known.
     void yield_to(Successor successor);
     /// Closes idle connections at once and the others after their next response. Accepts the connections that are
     /// already in the backlog.
     void start_drain();
-    /// After start_drain(): accepts the connections in the backlog and closes the listening socket. If no descriptor is
-    /// available, the socket stays open for another call, unless `is_final_attempt`.
+    /// After start_drain(): accepts the connections in the backlog, unless another process does, and closes the
+    /// listening socket. If no descriptor is available, or it is undecided who accepts, the socket stays open for
+    /// another call, unless `is_final_attempt`.
     void drain_backlog(bool is_final_attempt);
     /// After start_drain(): closes the connections that have sent nothing or only a part of a request.
     void close_incomplete_requests();
@@ -90,6 +94,9 @@
 private:
     friend class Session;
 
+    void on_connection_waiting();
+    /// Looks at the backlog of the shared socket until another process has accepted what waits, or this one has to.
+    void check_shared_backlog();
     void accept_pending();
     /// Accepts one connection. Returns false if the backlog is empty.
     bool accept_connection(connection_admission::FileDescriptorBudget::Lease lease);
@@ -113,6 +120,8 @@
     const bool is_socket_inherited_;
     /// Whether new connections are left to another process that accepts them.
     bool is_yielding_ = false;
+    UnclaimedBacklogDetector unclaimed_backlog_;
+    base::TimerHandle backlog_check_timer_;
     connection_admission::FileDescriptorBudget::Lease listener_lease_;
     net::Listener listener_;
 };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -137,6 +138,11 @@
     }
 }
 
+bool Listener::has_waiting_connection() const {
+    pollfd listening{fd_, POLLIN, 0};
+    return fd_ >= 0 && ::poll(&listening, 1, 0) > 0;
+}
+
 void Listener::close() {
     if (poll_ == nullptr)
         return;
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -35,6 +35,9 @@
     /// Pauses or resumes calls of `on_connection`. While paused, connections wait in the backlog.
     void set_paused(bool paused);
 
+    /// Whether a connection waits in the backlog.
+    bool has_waiting_connection() const;
+
     /// Closes the socket. New connections are then refused unless another process also has the socket open.
     void close();
 
--- a/src/platform/platform_node.cpp
+++ b/src/platform/platform_node.cpp
@@ -153,7 +153,8 @@
 }
 
 void PlatformNode::begin_graceful_shutdown() {
-    shutdown_coordinator_.start_graceful_shutdown(frontend::Successor::present);
+    // The platform sends the same signal for an upgrade and for a stop.
+    shutdown_coordinator_.start_graceful_shutdown(frontend::Successor::unknown);
     directory_reporter_.report(DirectoryReporter::Mode::closed);
 }
 
--- a/src/platform/platform_node.hpp
+++ b/src/platform/platform_node.hpp
@@ -27,7 +27,8 @@
     /// Installs the signal handlers, opens the link to the engine and starts reporting to the directory.
     void start();
 
-    /// Reports mode `closed` to the directory, answers the requests already read, and stops the loop.
+    /// Reports mode `closed` to the directory, answers the requests already read, and stops the loop. New connections on
+    /// an inherited listening socket are left to another process that accepts them.
     void begin_graceful_shutdown();
 
     /// Reloads the configuration file and applies changed addresses and settings. An invalid file changes nothing and
--- a/tests/cressledge/connection_shutdown_test.cpp
+++ b/tests/cressledge/connection_shutdown_test.cpp
@@ -340,6 +340,22 @@
     }
 }
 
+TEST_CASE("connection shutdown: only a backlog that is never empty has no other process to accept from it") {
+    frontend::UnclaimedBacklogDetector detector;
+    constexpr std::uint32_t looks = frontend::UnclaimedBacklogDetector::looks_until_unclaimed;
+    for (std::uint32_t look = 1; look < 3 * looks; ++look) {
+        // A successor accepts just before each tenth look.
+        CHECK_FALSE(detector.observe(look % looks != 0));
+        CHECK(detector.is_undecided() == (look % looks != 0));
+    }
+    CHECK_FALSE(detector.observe(false));
+    for (std::uint32_t look = 1; look < looks; ++look)
+        CHECK_FALSE(detector.observe(true));
+    CHECK_FALSE(detector.has_found_unclaimed());
+    CHECK(detector.observe(true));
+    CHECK((detector.has_found_unclaimed() && !detector.is_undecided()));
+}
+
 TEST_CASE("connection shutdown: a connection lifecycle never returns to an earlier state") {
     frontend::ConnectionLifecycle lifecycle;
     CHECK(lifecycle.accepts_requests());
--- a/tests/cressledge/takeover_test.cpp
+++ b/tests/cressledge/takeover_test.cpp
@@ -128,4 +128,55 @@
     ::close(platform_fd);
 }
 
+TEST_CASE(
+    "PlatformNode: without a successor, connections on an inherited socket are answered until the shutdown "
+    "ends") {
+    const int platform_fd = open_platform_socket();
+    PlatformFixture node({.stop_delay = Duration(1'500'000), .inherited_listener_fd = ::dup(platform_fd)});
+    const int port = node.node->http_port();
+    // Already in the backlog at the notice, and later, also when the connections are drained.
+    std::vector<int> callers;
+    const auto call = [&] {
+        callers.push_back(connect_to_backlog(port, node.make_request("route-profile", "x")));
+        return PlatformFixture::request_name(node.request_count);
+    };
+    std::vector<std::string> runs{call()};
+    node.node->begin_graceful_shutdown();
+    runs.push_back(call());
+    node.run_for(Duration(500'000));
+    runs.push_back(call());
+    node.run_for(Duration(450'000));
+    // Too late to be waited for: accepted with the backlog, as nobody has accepted the others.
+    runs.push_back(call());
+    for (std::size_t n = 0; n < callers.size(); ++n) {
+        node.test_loop.run_until([&] { return node.engine.has_received("RUN " + runs[n]); });
+        node.engine.latest_peer().send("DONE " + std::to_string(n + 1) + ' ' + runs[n] +
+                                       " PASS 1 1\r\nq\r\n");
+        const std::string received = receive_until(node.test_loop, callers[n], "\r\n\r\nq");
+        CHECK(received.rfind("HTTP/1.1 200", 0) == 0);
+        ::close(callers[n]);
+    }
+    ::close(platform_fd);
+}
+
+TEST_CASE("PlatformNode: a connection that a successor accepts late is left to it") {
+    const int platform_fd = open_platform_socket();
+    PlatformFixture old_node({.inherited_listener_fd = ::dup(platform_fd)});
+    old_node.node->begin_graceful_shutdown();
+    // The successor needs 50 ms for each connection. In between the backlog is empty for two looks.
+    for (int n = 0; n < 5; ++n) {
+        const int caller =
+            connect_to_backlog(old_node.node->http_port(), old_node.make_request("route-profile", "x"));
+        old_node.run_for(Duration(50'000));
+        const int accepted = ::accept(platform_fd, nullptr, nullptr);
+        CHECK(accepted >= 0);
+        ::close(accepted);
+        ::close(caller);
+        old_node.run_for(Duration(20'000));
+    }
+    CHECK_FALSE(old_node.engine.has_received("RUN "));
+    CHECK(take_log().find("no successor accepts") == std::string::npos);
+    ::close(platform_fd);
+}
+
 }  // namespace
