A signal to a child that could not be started no longer reaches the supervisor's group

After a failed uv_spawn the child counted as alive until the next turn of the loop; its process id is 0, so a SIGKILL in between went to the process group of the supervisor. The child is alive only after a successful start.

--- a/src/supervisor/child_process.cpp
+++ b/src/supervisor/child_process.cpp
@@ -105,7 +105,9 @@
         child->is_alive_ = false;
         child->on_exit_({code, signal});
     };
-    return uv_spawn(loop, &handle_, &options);
+    const int error = uv_spawn(loop, &handle_, &options);
+    is_alive_ = error == 0;
+    return error;
 }
 
 void ChildProcess::send_signal(int signal) {
--- a/src/supervisor/child_process.hpp
+++ b/src/supervisor/child_process.hpp
@@ -56,12 +56,9 @@
     /// iteration of the loop; after an error it is never called.
     int spawn(uv_loop_t* loop, const ChildCommand& command, std::function<void(const ExitStatus&)> on_exit);
 
-    /// Sends a signal; does nothing after the exit was reported.
+    /// Sends a signal; does nothing before a successful start and after the exit was reported.
     void send_signal(int signal);
 
-    /// Marks the child as exited. Needed if the program could not be started, as the loop reports no exit then.
-    void mark_exited() { is_alive_ = false; }
-
     /// Closes the handle, then calls `on_closed`, which may destroy this object.
     void close(std::function<void()> on_closed);
 
@@ -79,7 +76,7 @@
     const Generation generation_;
     const ListeningSocket admin_socket_;
     const net::Address admin_address_;
-    bool is_alive_ = true;
+    bool is_alive_ = false;
     std::function<void(const ExitStatus&)> on_exit_;
     std::function<void()> on_closed_;
 };
--- a/src/supervisor/supervisor.cpp
+++ b/src/supervisor/supervisor.cpp
@@ -192,7 +192,6 @@
     ChildProcess* const child = process.find_child(generation);
     if (child == nullptr)
         return;
-    child->mark_exited();
     const bool was_requested = generation != process.lifecycle.current_generation() &&
                                generation != process.lifecycle.successor_generation();
     const ordered_json line{{"id", process.settings.id},
--- a/tests/cressledge/process_lifecycle_test.cpp
+++ b/tests/cressledge/process_lifecycle_test.cpp
@@ -1,10 +1,12 @@
 /// Unit tests of the lifecycle of one supervised process.
 #include "supervisor/process_lifecycle.hpp"
 
+#include <csignal>
 #include <string>
 #include <vector>
 
 #include "rollout_fixture.hpp"
+#include "supervisor/child_process.hpp"
 
 namespace {
 
@@ -177,3 +179,19 @@
     changing.lifecycle.on_ready(seconds(3.1), 2, changing.actions);
     CHECK(changing.actions.empty());
 }
+
+// Its process id is 0, which kill() takes for the supervisor's own process group.
+TEST_CASE("supervisor child: a signal to a program that could not be started reaches no process") {
+    TestLoop test_loop;
+    int signals_received = 0;
+    // Ignored by every process without a handler.
+    test_loop.loop.on_signal(SIGURG, [&] { ++signals_received; });
+    supervisor::ChildProcess child(1, supervisor::ListeningSocket("127.0.0.1:0"));
+    const int error = child.spawn(test_loop.loop.uv(), {{"/nowhere/cressledge"}, {}, ""}, {});
+    CHECK(error != 0);
+    child.send_signal(SIGURG);
+    bool is_closed = false;
+    child.close([&] { is_closed = true; });
+    test_loop.run_until([&] { return is_closed; });
+    CHECK(signals_received == 0);
+}
