tests: the slow start of 30 processes is judged until the host is warm, not later

KNOWN-RED: the case had failed twice under the sanitizers beside load, 8.8 and 0.4 calls over the bound, without a cause.

Possible causes, with a trial that printed how long the host was watched, the longest time between two looks and the calls after the warm-up. Calls that are bunched by a stalled test: the longest gap was 247 ms beside ten busy processes, too short. Shares counted for too few processes: calls within the warm-up stay far under the bound. Calls after the warm-up: the stages last 6.0 s by the clock and starting, ending and cutting off processes comes on top; 6.25 s and 29 late calls in the whole sanitized suite beside load. That is the cause.

docs/operators/routing.md allows them: slow_start bounds the calls up to the full rate "after slow_start_ms", and a joining server is ready when "that time is over". The test now watches the whole warm-up, and at least that, and judges every call in it by the same bound; its least number of calls no longer counts the late ones either.

--- a/tests/all.sh
+++ b/tests/all.sh
@@ -22,5 +22,3 @@
 "$prefix/consumer/consumer"
 ctest --test-dir build-plain --output-on-failure
 ctest --test-dir build-sanitize --output-on-failure
-echo "known red, printed and not counted (KNOWN-RED.txt):"
-build-sanitize/cressledge_tests "slow start: 30 real processes*" || echo "known red: failed"
--- a/tests/cressledge/slow_start_test.cpp
+++ b/tests/cressledge/slow_start_test.cpp
@@ -303,15 +303,21 @@
     for (const std::size_t process : {7U, 8U, 9U})
         cluster.start(process);
     count_calls_for(Duration(2'000'000));
+    const Timestamp warm_at = announced_at + settings.warm_up_time;
+    while (wall_clock_now() < warm_at)
+        count_calls_for(Duration(10'000));
     driver.stop();
+    // A warm host is not limited. How long the stages take, and so how many calls come later, depends on the machine.
+    const auto first_call_after_warm_up = std::upper_bound(calls.begin(), calls.end(), warm_at);
+    const auto calls_after_warm_up = std::distance(first_call_after_warm_up, calls.end());
+    calls.erase(first_call_after_warm_up, calls.end());
     const SlowStartLimiter limiter(settings);
-    const double allowed =
-        limiter.allowed_calls(announced_at, announced_at, announced_at + settings.warm_up_time);
+    const double allowed = limiter.allowed_calls(announced_at, announced_at, warm_at);
     const double excess = largest_excess(limiter, announced_at, calls, settings.window);
     std::printf(
         "slow start: 30 real processes: %zu calls of %.0f allowed; largest excess of a window over "
-        "N + 2 sqrt(N) + 2: %.1f calls\n",
-        calls.size(), allowed, excess);
+        "N + 2 sqrt(N) + 2: %.1f calls; %td calls after the warm-up\n",
+        calls.size(), allowed, excess, calls_after_warm_up);
     CHECK(excess <= 0.0);
     // The host does get calls; how many depends on the speed of the machine.
     CHECK(static_cast<double>(calls.size()) > 0.15 * allowed);
