--- a/tests/cressledge/connection_shutdown_test.cpp
+++ b/tests/cressledge/connection_shutdown_test.cpp
@@ -340,6 +340,25 @@
     }
 }
 
+TEST_CASE(
+    "connection shutdown: an inherited socket is closed before the drain only for a successor, also one that "
+    "is told of late") {
+    // A send buffer size makes the fixture's socket an inherited one.
+    FrontendFixture fixture(Protocol::http, {}, 64, Duration(3'000'000), test_settings(), 8'192);
+    const int port = fixture.frontend().port();
+    REQUIRE(port != 0);
+    fixture.shutdown_coordinator.start_graceful_shutdown(frontend::Successor::none);
+    fixture.shutdown_coordinator.start_graceful_shutdown(frontend::Successor::none);
+    CHECK(fixture.frontend().port() == port);
+    RawClient early(port);
+    early.send(fixture.request());
+    fixture.test_loop.run_until([&] { return fixture.running_ids.size() == 1; });
+    fixture.shutdown_coordinator.start_graceful_shutdown(frontend::Successor::present);
+    CHECK(fixture.frontend().port() == 0);
+    fixture.finish_all();
+    fixture.expect_served(early);
+}
+
 TEST_CASE("connection shutdown: only a backlog that is never empty has no other process to accept from it") {
     frontend::UnclaimedBacklogDetector detector;
     constexpr std::uint32_t looks = frontend::UnclaimedBacklogDetector::looks_until_unclaimed;
--- a/tests/cressledge/inherited_listener_test.cpp
+++ b/tests/cressledge/inherited_listener_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdlib>
 
+#include "listening_sockets.hpp"
 #include "net/socket_error.hpp"
 #include "support.hpp"
 
@@ -12,16 +13,6 @@
 
 using namespace cressledge::testing;
 
-// Opens a listening socket on a free port, like the platform.
-int open_platform_socket() {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    REQUIRE(fd >= 0);
-    const net::Address any_port = loopback_address(0);
-    REQUIRE(::bind(fd, reinterpret_cast<const sockaddr*>(&any_port.raw), sizeof(sockaddr_in)) == 0);
-    REQUIRE(::listen(fd, 64) == 0);
-    return fd;
-}
-
 // Returns the error for a descriptor that is not adopted, or "adopted".
 std::string adoption_error(const char* value) {
     ::setenv("CRESSLEDGE_TEST_FD", value, 1);
--- a/tests/cressledge/supervisor_fixture.hpp
+++ b/tests/cressledge/supervisor_fixture.hpp
@@ -10,18 +10,11 @@
 #include "fault_injection/child_process.hpp"
 #include "frontend_fixture.hpp"
 #include "gateway_fixture.hpp"
+#include "listening_sockets.hpp"
 #include "net/http_client.hpp"
 
 namespace cressledge::testing {
 
-/// Returns a port that no socket listens on.
-inline int free_port() {
-    const int fd = net::open_listening_socket(loopback_address(0));
-    const int port = net::local_port(fd);
-    ::close(fd);
-    return port;
-}
-
 /// Whether the process has ended, also if its parent has not read its exit status yet.
 inline bool has_ended(int pid) {
     std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
--- a/tests/cressledge/takeover_test.cpp
+++ b/tests/cressledge/takeover_test.cpp
@@ -2,21 +2,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "listening_sockets.hpp"
 #include "platform_fixture.hpp"
 
 namespace {
 
 using namespace cressledge::testing;
 
-// Opens a listening socket on a free port, like the platform.
-int open_platform_socket() {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const net::Address any_port = loopback_address(0);
-    REQUIRE(::bind(fd, reinterpret_cast<const sockaddr*>(&any_port.raw), sizeof(sockaddr_in)) == 0);
-    REQUIRE(::listen(fd, 128) == 0);
-    return fd;
-}
-
 std::size_t response_count(const StreamPeer& peer) {
     const std::string status_line = "HTTP/1.1 ";
     std::size_t count = 0;
@@ -156,10 +148,12 @@
         CHECK(received.rfind("HTTP/1.1 200", 0) == 0);
         ::close(callers[n]);
     }
+    CHECK(take_log().find("no successor accepts") != std::string::npos);
     ::close(platform_fd);
 }
 
 TEST_CASE("PlatformNode: a connection that a successor accepts late is left to it") {
+    take_log();
     const int platform_fd = open_platform_socket();
     PlatformFixture old_node({.inherited_listener_fd = ::dup(platform_fd)});
     old_node.node->begin_graceful_shutdown();
