frontend: one name for the beginning of a graceful shutdown

ShutdownCoordinator::start_graceful_shutdown is begin_graceful_shutdown, as at its callers. No change of behaviour.

--- a/src/frontend/shutdown_coordinator.cpp
+++ b/src/frontend/shutdown_coordinator.cpp
@@ -44,14 +44,14 @@
         frontend->set_idle_limit(limit);
 }
 
-void ShutdownCoordinator::start_graceful_shutdown(Successor successor) {
+void ShutdownCoordinator::begin_graceful_shutdown(Successor successor) {
     if (!request_manager_.draining())
-        begin_shutdown();
+        schedule_drain();
     for (const auto& frontend : frontends_)
         frontend->yield_to(successor);
 }
 
-void ShutdownCoordinator::begin_shutdown() {
+void ShutdownCoordinator::schedule_drain() {
     const base::Timestamp now = request_manager_.now();
     const base::Timestamp stop_at = now + stop_delay_;
     base::log_info("frontend: graceful shutdown started unanswered={} stop_ms={}",
--- a/src/frontend/shutdown_coordinator.hpp
+++ b/src/frontend/shutdown_coordinator.hpp
@@ -31,12 +31,12 @@
     void set_idle_limit(base::Duration limit);
     /// Starts the shutdown. `successor`: whether another process accepts the connections that come from now on. A second
     /// call only tells of a successor.
-    void start_graceful_shutdown(Successor successor = Successor::none);
+    void begin_graceful_shutdown(Successor successor = Successor::none);
     /// Appends the metrics `node.connections.X`: closed connections by cause, summed over all frontends.
     void collect_connection_metrics(base::Metrics& out) const;
 
 private:
-    void begin_shutdown();
+    void schedule_drain();
     void start_drain();
     void advance_drain();
     bool has_unfinished_work() const;
--- a/src/platform/platform_node.cpp
+++ b/src/platform/platform_node.cpp
@@ -154,7 +154,7 @@
 
 void PlatformNode::begin_graceful_shutdown() {
     // The platform sends the same signal for an upgrade and for a stop.
-    shutdown_coordinator_.start_graceful_shutdown(frontend::Successor::unknown);
+    shutdown_coordinator_.begin_graceful_shutdown(frontend::Successor::unknown);
     directory_reporter_.report(DirectoryReporter::Mode::closed);
 }
 
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -159,13 +159,13 @@
 }
 
 void UpstreamGateway::begin_graceful_shutdown() {
-    shutdown_coordinator_.start_graceful_shutdown(frontend::Successor::none);
+    shutdown_coordinator_.begin_graceful_shutdown(frontend::Successor::none);
     if (gossip_node_)
         gossip_node_->leave();
 }
 
 void UpstreamGateway::hand_over() {
-    shutdown_coordinator_.start_graceful_shutdown(frontend::Successor::present);
+    shutdown_coordinator_.begin_graceful_shutdown(frontend::Successor::present);
     peer_refresh_timer_.cancel();
     gossip_node_.reset();
 }
--- a/tests/cressledge/connection_shutdown_test.cpp
+++ b/tests/cressledge/connection_shutdown_test.cpp
@@ -247,7 +247,7 @@
         fixture.test_loop.loop.run_once(false);
         fixture.test_loop.loop.run_once(false);
         const Timestamp started_at = wall_clock_now();
-        fixture.shutdown_coordinator.start_graceful_shutdown();
+        fixture.shutdown_coordinator.begin_graceful_shutdown();
         // The drain starts half a second before the deadline. The test moves the timers there instead of waiting.
         fixture.test_loop.timers.run_due(fixture.request_manager.shutdown_deadline() - Duration(500'000));
         bool stopped = false;
@@ -347,13 +347,13 @@
     FrontendFixture fixture(Protocol::http, {}, 64, Duration(3'000'000), test_settings(), 8'192);
     const int port = fixture.frontend().port();
     REQUIRE(port != 0);
-    fixture.shutdown_coordinator.start_graceful_shutdown(frontend::Successor::none);
-    fixture.shutdown_coordinator.start_graceful_shutdown(frontend::Successor::none);
+    fixture.shutdown_coordinator.begin_graceful_shutdown(frontend::Successor::none);
+    fixture.shutdown_coordinator.begin_graceful_shutdown(frontend::Successor::none);
     CHECK(fixture.frontend().port() == port);
     RawClient early(port);
     early.send(fixture.request());
     fixture.test_loop.run_until([&] { return fixture.running_ids.size() == 1; });
-    fixture.shutdown_coordinator.start_graceful_shutdown(frontend::Successor::present);
+    fixture.shutdown_coordinator.begin_graceful_shutdown(frontend::Successor::present);
     CHECK(fixture.frontend().port() == 0);
     fixture.finish_all();
     fixture.expect_served(early);
